Build the thin whole path: two instances, stand-ins, plans, leases, ledger, time line

Cause: there was no code yet. The design starts from the platform's object API as the only arbiter; this commit joins every part of the path once, thinly.

Before: nothing.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,34 @@
+MODULES := $(shell sed -n 's/^[[:space:]]*\.\/\([a-z]*\)$$/\1/p' go.work)
+GOBIN := $(shell go env GOPATH)/bin
+GOFUMPT := mvdan.cc/gofumpt@v0.12.0
+GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
+
+.PHONY: check demo build format lint layers test tools generate
+
+check: tools format lint layers test
+
+build:
+	go build -o bin/ ./cmd/...
+
+demo:
+	go run ./cmd/nutmegload replay -bills traces/demo.toml
+
+tools:
+	@test -x $(GOBIN)/gofumpt || go install $(GOFUMPT)
+	@test -x $(GOBIN)/golangci-lint || go install $(GOLANGCI)
+
+format:
+	@out=$$($(GOBIN)/gofumpt -l $(MODULES)); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
+
+lint:
+	$(GOBIN)/golangci-lint run $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+layers:
+	go test -count=1 -run TestLayers ./cmd/internal/layers
+
+test:
+	go test -race $(addsuffix /...,$(addprefix ./,$(MODULES)))
+
+generate:
+	cd nutmegpeer && protoc --go_out=. --go_opt=module=github.com/nutmegwind/nutmegwind/nutmegpeer \
+		--go-drpc_out=. --go-drpc_opt=module=github.com/nutmegwind/nutmegwind/nutmegpeer peer.proto
--- /dev/null
+++ b/cmd/nutmegctl/client.go
@@ -0,0 +1,67 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const callTimeout = 15 * time.Second
+
+// client calls the operators' API of the instances.
+type client struct {
+	options
+	http *http.Client
+}
+
+func newClient(o options) *client {
+	return &client{options: o, http: &http.Client{Timeout: callTimeout}}
+}
+
+func (c *client) servers() []string {
+	return strings.Split(c.server, ",")
+}
+
+// call sends a request to one instance and decodes its answer.
+func (c *client) call(ctx context.Context, server, method, path string, body, into any) error {
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, server+path, bytes.NewReader(raw))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Authorization", "Bearer "+c.key)
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("instance %s does not answer; name another with -server: %w", server, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	answer, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refused(resp.Status, answer)
+	}
+	return json.Unmarshal(answer, into)
+}
+
+func refused(status string, answer []byte) error {
+	var body struct {
+		Error struct {
+			Kind    string `json:"kind"`
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	if json.Unmarshal(answer, &body) != nil || body.Error.Message == "" {
+		return fmt.Errorf("instance answered %s: %s", status, answer)
+	}
+	return fmt.Errorf("%s: %s", body.Error.Kind, body.Error.Message)
+}
--- /dev/null
+++ b/cmd/nutmegctl/commands.go
@@ -0,0 +1,180 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"net/http"
+	"net/url"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegledger"
+	"github.com/nutmegwind/nutmegwind/nutmegnode"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
+)
+
+type command func(ctx context.Context, c *client, args []string, out io.Writer) error
+
+var commands = map[string]command{
+	"intent":       intent,
+	"confirm":      confirm,
+	"status":       status,
+	"bill":         bill,
+	"timeline":     timeline,
+	"check-config": checkConfig,
+}
+
+// intent asks for a plan and prints what it would change.
+func intent(ctx context.Context, c *client, args []string, out io.Writer) error {
+	if len(args) == 0 {
+		return cli.Usagef("give at least one intent as JSON")
+	}
+	req := nutmegnode.PlanRequest{Reason: c.reason}
+	for _, arg := range args {
+		var i nutmegconf.Intent
+		if err := json.Unmarshal([]byte(arg), &i); err != nil {
+			return cli.Usagef("intent %s is no JSON: %v", arg, err)
+		}
+		req.Intents = append(req.Intents, i)
+	}
+	var plan nutmegconf.Plan
+	if err := c.call(ctx, c.servers()[0], http.MethodPost, "/v1/plans", req, &plan); err != nil {
+		return err
+	}
+	if c.json {
+		return printJSON(out, plan)
+	}
+	return printPlan(out, plan)
+}
+
+func printPlan(out io.Writer, plan nutmegconf.Plan) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "plan %s against revision %d; nothing has taken effect\n", plan.ID, plan.Base)
+	_, _ = fmt.Fprintln(w, "WHAT\tBEFORE\tAFTER")
+	for _, change := range plan.Changes {
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", change.What, change.Before, change.After)
+	}
+	_, _ = fmt.Fprintf(w, "confirm with: nutmegctl confirm %s\n", plan.ID)
+	return w.Flush()
+}
+
+func confirm(ctx context.Context, c *client, args []string, out io.Writer) error {
+	if len(args) != 1 {
+		return cli.Usagef("name one plan")
+	}
+	var done nutmegnode.Confirmation
+	path := "/v1/plans/" + url.PathEscape(args[0]) + "/confirm"
+	if err := c.call(ctx, c.servers()[0], http.MethodPost, path, nil, &done); err != nil {
+		return err
+	}
+	if c.json {
+		return printJSON(out, done)
+	}
+	_, err := fmt.Fprintf(out, "plan %s is in force as revision %d\n", done.Plan, done.Revision)
+	return err
+}
+
+func status(ctx context.Context, c *client, _ []string, out io.Writer) error {
+	var all []nutmegnode.Status
+	var failed error
+	for _, server := range c.servers() {
+		var s nutmegnode.Status
+		if err := c.call(ctx, server, http.MethodGet, "/v1/status", nil, &s); err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		all = append(all, s)
+	}
+	if c.json {
+		return errors.Join(failed, printJSON(out, all))
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "INSTANCE\tREVISION\tSTORE\tREADY\tBUDGET\tFREE\tRESERVED\tUNSETTLED")
+	for _, s := range all {
+		_, _ = fmt.Fprintf(w, "%s\t%d\t%s\t%s\n", s.Instance, s.Revision, upDown(s.StoreUp), readiness(s.NotReady))
+		for _, b := range s.Balances {
+			_, _ = fmt.Fprintf(w, "\t\t\t\t%s\t%d\t%d\t%d\n", b.Budget, b.Free, b.Reserved, b.Spent)
+		}
+	}
+	return errors.Join(failed, w.Flush())
+}
+
+func upDown(up bool) string {
+	if up {
+		return "up"
+	}
+	return "down"
+}
+
+func readiness(reason string) string {
+	if reason == "" {
+		return "ready"
+	}
+	return reason
+}
+
+func bill(ctx context.Context, c *client, _ []string, out io.Writer) error {
+	var bills nutmegledger.Bills
+	if err := c.call(ctx, c.servers()[0], http.MethodGet, "/v1/bill", nil, &bills); err != nil {
+		return err
+	}
+	if c.json {
+		return printJSON(out, bills)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "OWNER\tWORKSPACE\tREQUESTS\tTOKENS")
+	for _, owner := range slices.Sorted(maps.Keys(bills.Owners)) {
+		b := bills.Owners[owner]
+		_, _ = fmt.Fprintf(w, "%s\t\t%d\t%d\n", owner, b.Requests, b.Tokens)
+		for _, workspace := range slices.Sorted(maps.Keys(b.Workspaces)) {
+			_, _ = fmt.Fprintf(w, "\t%s\t\t%d\n", workspace, b.Workspaces[workspace])
+		}
+	}
+	return w.Flush()
+}
+
+func timeline(ctx context.Context, c *client, _ []string, out io.Writer) error {
+	query := url.Values{"request": {c.request}, "budget": {c.budget}, "upstream": {c.upstream}, "kind": {c.kind}}
+	var lists [][]nutmegtime.Event
+	for _, server := range c.servers() {
+		var events []nutmegtime.Event
+		if err := c.call(ctx, server, http.MethodGet, "/v1/events?"+query.Encode(), nil, &events); err != nil {
+			return err
+		}
+		lists = append(lists, events)
+	}
+	merged := nutmegtime.Merge(lists...)
+	if c.json {
+		return printJSON(out, merged)
+	}
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, e := range merged {
+		at := time.UnixMicro(e.At.Micros).UTC().Format("15:04:05.000000")
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s%s%s\t%d\t%s\n", at, e.Process, e.Kind, e.Request, e.Budget, e.Upstream, e.Tokens, e.Detail)
+	}
+	return w.Flush()
+}
+
+func checkConfig(_ context.Context, _ *client, args []string, out io.Writer) error {
+	if len(args) != 1 {
+		return cli.Usagef("name one settings file")
+	}
+	if _, err := nutmegconf.LoadSettings(args[0]); err != nil {
+		return &cli.UsageError{Detail: err.Error()}
+	}
+	_, err := fmt.Fprintf(out, "%s: no faults\n", args[0])
+	return err
+}
+
+func printJSON(out io.Writer, v any) error {
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(v)
+}
--- /dev/null
+++ b/cmd/nutmegctl/main.go
@@ -0,0 +1,117 @@
+// Command nutmegctl is the operators' command line.
+//
+// # Usage
+//
+//	nutmegctl -server http://127.0.0.1:8081 intent '{"kind":"top_up","budget":"owner/brazos","tokens":5000}'
+//	nutmegctl -server http://127.0.0.1:8081 confirm PLAN
+package main
+
+import (
+	"context"
+	"flag"
+	"io"
+	"os"
+
+	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
+)
+
+const help = `NAME
+    nutmegctl - operators' command line of nutmegwind
+
+SYNOPSIS
+    nutmegctl [OPTIONS] COMMAND [ARGUMENTS]
+
+DESCRIPTION
+    intent JSON...       ask for a plan; nothing takes effect
+    confirm PLAN         put a plan into force
+    status               state of each instance
+    bill                 bill of each owner
+    timeline             events of all instances, merged
+    check-config FILE    check an instance's settings without starting it
+
+OPTIONS
+    -server URL[,URL]    operators' addresses of the instances; the first is
+                         asked for plans, all for status and timeline
+    -key KEY             operator's key; the environment's NUTMEGWIND_KEY when absent
+    -reason TEXT         why, for the history of plans
+    -request ID          timeline: only this request
+    -budget ID           timeline: only this budget
+    -upstream NAME       timeline: only this upstream
+    -kind KIND           timeline: only this kind of event
+    -json                print JSON in place of text
+    -version             print the version and exit
+    -h                   print this page
+
+EXIT STATUS
+    0  done
+    1  refused or failed
+    2  wrong use or faulty settings
+
+EXAMPLES
+    nutmegctl intent '{"kind":"add_owner","owner":"brazos"}' \
+        '{"kind":"add_budget","budget":"owner/brazos","tokens":2000000}'
+    nutmegctl confirm 5f0c7d0e-6a53-4a0f-9a70-0f4c9f3b7c11
+    nutmegctl -server http://127.0.0.1:8081,http://127.0.0.1:8181 timeline -request ID
+`
+
+// options are all options of the program.
+type options struct {
+	server   string
+	key      string
+	reason   string
+	request  string
+	budget   string
+	upstream string
+	kind     string
+	json     bool
+}
+
+func (o *options) declare(f *flag.FlagSet) {
+	f.StringVar(&o.server, "server", "http://127.0.0.1:8081", "operators' addresses")
+	f.StringVar(&o.key, "key", os.Getenv("NUTMEGWIND_KEY"), "operator's key")
+	f.StringVar(&o.reason, "reason", "", "why")
+	f.StringVar(&o.request, "request", "", "request id")
+	f.StringVar(&o.budget, "budget", "", "budget id")
+	f.StringVar(&o.upstream, "upstream", "", "upstream")
+	f.StringVar(&o.kind, "kind", "", "kind of event")
+	f.BoolVar(&o.json, "json", false, "print JSON")
+}
+
+func main() {
+	var o options
+	os.Exit(cli.Main(cli.Program{
+		Name:  "nutmegctl",
+		Help:  help,
+		Flags: o.declare,
+		Run: func(ctx context.Context, args []string, out io.Writer) error {
+			return run(ctx, &o, args, out)
+		},
+	}))
+}
+
+// run parses the options that stand behind the command too.
+func run(ctx context.Context, o *options, args []string, out io.Writer) error {
+	if len(args) == 0 {
+		return cli.Usagef("name a command")
+	}
+	command, ok := commands[args[0]]
+	if !ok {
+		return cli.Usagef("command %q is unknown", args[0])
+	}
+	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
+	f.SetOutput(io.Discard)
+	rest := &options{}
+	*rest = *o
+	f.StringVar(&rest.server, "server", o.server, "")
+	f.StringVar(&rest.key, "key", o.key, "")
+	f.StringVar(&rest.reason, "reason", o.reason, "")
+	f.StringVar(&rest.request, "request", o.request, "")
+	f.StringVar(&rest.budget, "budget", o.budget, "")
+	f.StringVar(&rest.upstream, "upstream", o.upstream, "")
+	f.StringVar(&rest.kind, "kind", o.kind, "")
+	f.BoolVar(&rest.json, "json", o.json, "")
+	if err := f.Parse(args[1:]); err != nil {
+		return cli.Usagef("%v", err)
+	}
+	return command(ctx, newClient(*rest), f.Args(), out)
+}
--- /dev/null
+++ b/cmd/nutmegstand/main.go
@@ -0,0 +1,116 @@
+// Command nutmegstand runs one stand-in of a system that nutmegwind meets.
+//
+// # Usage
+//
+//	nutmegstand -listen 127.0.0.1:7000 platform
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
+	"github.com/nutmegwind/nutmegwind/nutmegstand"
+)
+
+const help = `NAME
+    nutmegstand - stand-in of the platform, a model engine or a plain service
+
+SYNOPSIS
+    nutmegstand [OPTIONS] platform|engine|service
+
+DESCRIPTION
+    Serves one stand-in over HTTP until SIGTERM or SIGINT. PUT /faults switches
+    its faults; GET /records returns what it really did.
+
+OPTIONS
+    -listen ADDR        address, ip:port (default 127.0.0.1:0)
+    -name NAME          name of the engine or service
+    -token-time TIME    time of one engine step, for example 2ms
+    -writes N           writes a second that the platform takes; 0: no limit
+    -reads N            reads a second that the platform takes; 0: no limit
+    -version            print the version and exit
+    -h                  print this page
+
+EXIT STATUS
+    0  stopped
+    1  failed
+    2  wrong use
+
+EXAMPLES
+    nutmegstand -listen 127.0.0.1:7000 -writes 300 -reads 2000 platform
+    nutmegstand -listen 127.0.0.1:7101 -name drafter-1 engine
+    curl -X PUT -d '{"outage":true}' http://127.0.0.1:7000/faults
+`
+
+type options struct {
+	listen    string
+	name      string
+	tokenTime time.Duration
+	writes    float64
+	reads     float64
+}
+
+const readHeaderTimeout = 10 * time.Second
+
+func main() {
+	var o options
+	os.Exit(cli.Main(cli.Program{
+		Name: "nutmegstand",
+		Help: help,
+		Flags: func(f *flag.FlagSet) {
+			f.StringVar(&o.listen, "listen", "127.0.0.1:0", "address")
+			f.StringVar(&o.name, "name", "stand-in", "name")
+			f.DurationVar(&o.tokenTime, "token-time", nutmegstand.DefaultTokenTime, "time of one engine step")
+			f.Float64Var(&o.writes, "writes", 0, "writes a second")
+			f.Float64Var(&o.reads, "reads", 0, "reads a second")
+		},
+		Run: func(ctx context.Context, args []string, out io.Writer) error {
+			return run(ctx, o, args, out)
+		},
+	}))
+}
+
+func run(ctx context.Context, o options, args []string, out io.Writer) error {
+	if len(args) != 1 {
+		return cli.Usagef("name one stand-in: platform, engine or service")
+	}
+	handler, stop, err := build(o, args[0])
+	if err != nil {
+		return err
+	}
+	defer stop()
+	l, err := net.Listen("tcp", o.listen)
+	if err != nil {
+		return fmt.Errorf("address %q: %w", o.listen, err)
+	}
+	_, _ = fmt.Fprintf(out, "%s %s\n", args[0], l.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+	closed := context.AfterFunc(ctx, func() { _ = server.Close() })
+	defer closed()
+	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+func build(o options, kind string) (http.Handler, func(), error) {
+	switch kind {
+	case "platform":
+		p := nutmegstand.NewPlatform(nutmegstand.PlatformConfig{WritesPerSecond: o.writes, ReadsPerSecond: o.reads})
+		return p.Handler(), func() {}, nil
+	case "engine":
+		e := nutmegstand.NewEngine(nutmegstand.EngineConfig{Name: o.name, TokenTime: o.tokenTime})
+		return e.Handler(), e.Close, nil
+	case "service":
+		return nutmegstand.NewService(nutmegstand.ServiceConfig{Name: o.name}).Handler(), func() {}, nil
+	}
+	return nil, nil, cli.Usagef("stand-in %q is unknown; use platform, engine or service", kind)
+}
--- /dev/null
+++ b/nutmegconf/defaults.go
@@ -0,0 +1,16 @@
+package nutmegconf
+
+import "time"
+
+const (
+	// DefaultShutdownTimeout bounds how long a graceful shutdown waits for running requests.
+	DefaultShutdownTimeout = 2 * time.Minute
+	// DefaultMaxBodyBytes is the largest body that a caller may send.
+	DefaultMaxBodyBytes = 4 << 20
+	// DefaultMaxHeaderBytes is the largest header that a caller may send.
+	DefaultMaxHeaderBytes = 32 << 10
+	// DefaultMaxConnections is the number of callers' connections that an instance keeps open.
+	DefaultMaxConnections = 4096
+	// DefaultBudgetShards is the number of objects that hold budgets.
+	DefaultBudgetShards = 1
+)
--- /dev/null
+++ b/nutmegid/id.go
@@ -0,0 +1,107 @@
+// Package nutmegid declares the named types for ids and units that all
+// nutmegwind libraries share. It holds no logic beyond making random ids.
+//
+// # Usage
+//
+//	inc := nutmegid.NewIncarnation()
+//	var budget nutmegid.Tokens = 250_000
+//	id := nutmegid.WorkspaceBudget("rack-desk")
+//
+// All types marshal as plain JSON strings or numbers.
+package nutmegid
+
+import "github.com/google/uuid"
+
+// Tokens counts model tokens. Budgets, reservations and bills use this unit.
+type Tokens int64
+
+// Revision numbers accepted configurations. Higher revisions replace lower ones.
+type Revision uint64
+
+// Version numbers the states of one object in the platform's object API.
+type Version uint64
+
+// Instance names one entry instance of the fleet as written in its settings.
+type Instance string
+
+// Incarnation identifies one process start of an instance.
+type Incarnation string
+
+// Workspace names a group of callers that share a budget.
+type Workspace string
+
+// Owner names an organisation that prepays budgets.
+type Owner string
+
+// FailureDomain names a zone whose instances fail together.
+type FailureDomain string
+
+// Upstream names one back end: a model engine or a plain service.
+type Upstream string
+
+// Route names a routed plain service.
+type Route string
+
+// Model names a model served by engines.
+type Model string
+
+// RequestID identifies one caller's request over all of its attempts.
+type RequestID string
+
+// WriteID identifies one logical write to the object API over all of its attempts.
+type WriteID string
+
+// TopUpID identifies one top-up of a budget, so that a repeat has no effect.
+type TopUpID string
+
+// TransferID identifies one transfer of tokens between two instances.
+type TransferID string
+
+// PlanID identifies one operator's plan.
+type PlanID string
+
+// OrderKey is the caller's idempotency key of a protected call.
+type OrderKey string
+
+// BudgetID names a budget of a workspace or of an owner.
+type BudgetID string
+
+const (
+	workspacePrefix = "workspace/"
+	ownerPrefix     = "owner/"
+)
+
+// WorkspaceBudget returns the id of the budget that belongs to workspace w.
+func WorkspaceBudget(w Workspace) BudgetID {
+	return BudgetID(workspacePrefix + string(w))
+}
+
+// OwnerBudget returns the id of the budget that belongs to owner o.
+func OwnerBudget(o Owner) BudgetID {
+	return BudgetID(ownerPrefix + string(o))
+}
+
+// NewIncarnation returns a random incarnation.
+func NewIncarnation() Incarnation {
+	return Incarnation(uuid.NewString())
+}
+
+// NewRequestID returns a random request id.
+func NewRequestID() RequestID {
+	return RequestID(uuid.NewString())
+}
+
+// NewWriteID returns a random write id.
+func NewWriteID() WriteID {
+	return WriteID(uuid.NewString())
+}
+
+// NewPlanID returns a random plan id.
+func NewPlanID() PlanID {
+	return PlanID(uuid.NewString())
+}
+
+// NewTransferID returns a random transfer id.
+func NewTransferID() TransferID {
+	return TransferID(uuid.NewString())
+}
--- /dev/null
+++ b/nutmegnode/apierror.go
@@ -0,0 +1,87 @@
+package nutmegnode
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegorder"
+	"github.com/nutmegwind/nutmegwind/nutmegroute"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+)
+
+// APIError is the JSON body of every refusal to callers and operators.
+type APIError struct {
+	Status  int             `json:"-"`
+	Kind    string          `json:"kind"`
+	Message string          `json:"message"`
+	Run     nutmegroute.Ran `json:"run"`
+}
+
+// Error returns the message.
+func (e *APIError) Error() string {
+	return e.Message
+}
+
+type errorBody struct {
+	Error *APIError `json:"error"`
+}
+
+func refusal(status int, kind, message string) *APIError {
+	return &APIError{Status: status, Kind: kind, Message: message, Run: nutmegroute.RanNo}
+}
+
+// apiError gives an error its status, kind and whether the request ran.
+func apiError(err error) *APIError {
+	var known *APIError
+	var budget *nutmegbudget.Error
+	var route *nutmegroute.Error
+	var store *nutmegstore.Error
+	var mismatch *nutmegorder.BodyMismatchError
+	switch {
+	case errors.As(err, &known):
+		return known
+	case errors.As(err, &budget):
+		return refusal(budgetStatus(budget.Kind), string(budget.Kind), err.Error())
+	case errors.As(err, &route):
+		return &APIError{Status: http.StatusBadGateway, Kind: string(route.Kind), Message: err.Error(), Run: route.Ran}
+	case errors.As(err, &mismatch):
+		return refusal(http.StatusUnprocessableEntity, "key_reused", err.Error())
+	case errors.As(err, &store):
+		return refusal(http.StatusServiceUnavailable, "store_"+string(store.Kind), err.Error())
+	}
+	return &APIError{Status: http.StatusInternalServerError, Kind: "internal", Message: err.Error(), Run: nutmegroute.RanUnknown}
+}
+
+func budgetStatus(kind nutmegbudget.ErrorKind) int {
+	if kind == nutmegbudget.KindUnreachable {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusPaymentRequired
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	e := apiError(err)
+	writeJSON(w, e.Status, errorBody{Error: e})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// planError gives the errors of plans their statuses.
+func planError(err error) error {
+	var stale *nutmegconf.StalePlanError
+	var intent *nutmegconf.IntentError
+	switch {
+	case errors.As(err, &stale):
+		return refusal(http.StatusConflict, "stale_plan", err.Error())
+	case errors.As(err, &intent):
+		return refusal(http.StatusUnprocessableEntity, "bad_intent", err.Error())
+	}
+	return err
+}
--- /dev/null
+++ b/nutmegnode/operators.go
@@ -0,0 +1,170 @@
+package nutmegnode
+
+import (
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/go-chi/chi/v5"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegledger"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
+)
+
+// operatorHandler serves the operators' API.
+func (n *Node) operatorHandler() http.Handler {
+	r := chi.NewRouter()
+	r.Get("/healthz", n.healthz)
+	r.Get("/readyz", n.readyz)
+	r.Get("/metrics", n.serveMetrics)
+	r.Group(func(r chi.Router) {
+		r.Get("/v1/status", n.operator(nutmegconf.RoleReader, n.status))
+		r.Get("/v1/bill", n.operator(nutmegconf.RoleReader, n.bill))
+		r.Get("/v1/events", n.operator(nutmegconf.RoleReader, n.events))
+		r.Post("/v1/plans", n.operator(nutmegconf.RoleOperator, n.plan))
+		r.Post("/v1/plans/{plan}/confirm", n.operator(nutmegconf.RoleOperator, n.confirm))
+	})
+	return r
+}
+
+// actor is an authenticated operator.
+type actor struct {
+	name string
+	nutmegconf.OperatorConfig
+}
+
+// bootstrapActor acts until the first operator is configured.
+const bootstrapActor = "bootstrap"
+
+func (n *Node) operator(role nutmegconf.Role, h func(http.ResponseWriter, *http.Request, actor) error) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		a, err := n.authenticate(r, role)
+		if err == nil {
+			err = h(w, r, a)
+		}
+		if err != nil {
+			writeError(w, err)
+		}
+	}
+}
+
+func (n *Node) authenticate(r *http.Request, role nutmegconf.Role) (actor, error) {
+	key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return actor{}, refusal(http.StatusUnauthorized, "no_key", "the request has no key; send Authorization: Bearer KEY")
+	}
+	config := n.view.Current()
+	if config == nil || len(config.Operators) == 0 {
+		return n.bootstrap(key)
+	}
+	name, o, ok := config.Operator(key)
+	if !ok {
+		return actor{}, refusal(http.StatusUnauthorized, "unknown_key", "the key belongs to no operator")
+	}
+	if role == nutmegconf.RoleOperator && o.Role != nutmegconf.RoleOperator {
+		return actor{}, refusal(http.StatusForbidden, "forbidden", "the operator may only read; ask for the operator role")
+	}
+	return actor{name: name, OperatorConfig: o}, nil
+}
+
+// bootstrap accepts the key of the settings while no operator is configured.
+func (n *Node) bootstrap(key string) (actor, error) {
+	want := n.cfg.Settings.Instance.BootstrapKeyHash
+	if want == "" || nutmegconf.HashKey(key) != want {
+		return actor{}, refusal(http.StatusUnauthorized, "unknown_key", "no operator is configured; use the key of instance.bootstrap_key_hash")
+	}
+	return actor{name: bootstrapActor, OperatorConfig: nutmegconf.OperatorConfig{Role: nutmegconf.RoleOperator}}, nil
+}
+
+func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	metrics.WriteJSONOnce(n.metrics, w)
+}
+
+// Status is what an instance reports of itself.
+type Status struct {
+	Instance    nutmegid.Instance      `json:"instance"`
+	Incarnation nutmegid.Incarnation   `json:"incarnation"`
+	Revision    nutmegid.Revision      `json:"revision"`
+	StoreUp     bool                   `json:"store_up"`
+	NotReady    string                 `json:"not_ready,omitempty"`
+	Balances    []nutmegbudget.Balance `json:"balances"`
+	Peers       []nutmegpeer.Member    `json:"peers"`
+}
+
+func (n *Node) status(w http.ResponseWriter, _ *http.Request, _ actor) error {
+	writeJSON(w, http.StatusOK, Status{
+		Instance:    n.cfg.Settings.Instance.Name,
+		Incarnation: n.incarnation,
+		Revision:    n.revision(),
+		StoreUp:     n.client.Up(),
+		NotReady:    n.notReady(),
+		Balances:    n.holder.Balances(),
+		Peers:       n.peers.Members(),
+	})
+	return nil
+}
+
+func (n *Node) bill(w http.ResponseWriter, r *http.Request, _ actor) error {
+	bills, err := nutmegledger.Fold(r.Context(), n.client)
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, bills)
+	return nil
+}
+
+func (n *Node) events(w http.ResponseWriter, r *http.Request, _ actor) error {
+	q := r.URL.Query()
+	writeJSON(w, http.StatusOK, n.ring.Events(nutmegtime.Filter{
+		Request:  nutmegid.RequestID(q.Get("request")),
+		Budget:   nutmegid.BudgetID(q.Get("budget")),
+		Upstream: nutmegid.Upstream(q.Get("upstream")),
+		Kind:     nutmegtime.Kind(q.Get("kind")),
+	}))
+	return nil
+}
+
+// PlanRequest asks for a plan.
+type PlanRequest struct {
+	Intents []nutmegconf.Intent `json:"intents"`
+	Reason  string              `json:"reason,omitempty"`
+}
+
+func (n *Node) plan(w http.ResponseWriter, r *http.Request, a actor) error {
+	var req PlanRequest
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, n.cfg.Settings.Limits.MaxBodyBytes))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&req); err != nil {
+		return refusal(http.StatusBadRequest, "bad_body", "the body is no plan request: "+err.Error())
+	}
+	plan, err := n.book.Plan(r.Context(), a.name, req.Reason, req.Intents)
+	if err != nil {
+		return planError(err)
+	}
+	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindPlan, Revision: plan.Base, Detail: string(plan.ID)})
+	writeJSON(w, http.StatusOK, plan)
+	return nil
+}
+
+// Confirmation is the answer to a confirmed plan.
+type Confirmation struct {
+	Plan     nutmegid.PlanID   `json:"plan"`
+	Revision nutmegid.Revision `json:"revision"`
+}
+
+func (n *Node) confirm(w http.ResponseWriter, r *http.Request, _ actor) error {
+	id := nutmegid.PlanID(chi.URLParam(r, "plan"))
+	revision, err := n.book.Confirm(r.Context(), id)
+	if err != nil {
+		return planError(err)
+	}
+	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindConfirm, Revision: revision, Detail: string(id)})
+	writeJSON(w, http.StatusOK, Confirmation{Plan: id, Revision: revision})
+	return nil
+}
--- /dev/null
+++ b/nutmegstore/defaults.go
@@ -0,0 +1,23 @@
+package nutmegstore
+
+import "time"
+
+const (
+	// MaxValueBytes is the largest value that the platform holds.
+	MaxValueBytes = 1 << 20
+	// DefaultTimeout bounds one call to the platform.
+	DefaultTimeout = 2 * time.Second
+	// DefaultWritesPerSecond is one instance's share of the platform's writes.
+	DefaultWritesPerSecond = 40
+	// DefaultReadsPerSecond is one instance's share of the platform's reads.
+	DefaultReadsPerSecond = 150
+	// DefaultWatchHeartbeat is how often the platform sends a bookmark on an idle watch.
+	DefaultWatchHeartbeat = time.Second
+
+	maxRecentWrites  = 64 // write ids that an object remembers
+	maxAttempts      = 8  // tries of one logical write
+	firstBackoff     = 10 * time.Millisecond
+	maxBackoff       = time.Second
+	outageAfterFails = 3 // failures in a row that make an outage
+	watchSilence     = 3 // heartbeats without a message that end a watch
+)
--- /dev/null
+++ b/nutmegtime/event.go
@@ -0,0 +1,149 @@
+package nutmegtime
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// Kind names what happened.
+type Kind string
+
+// The kinds of events.
+const (
+	KindStart       Kind = "start"
+	KindStop        Kind = "stop"
+	KindRequest     Kind = "request"
+	KindReserve     Kind = "reserve"
+	KindRefuse      Kind = "refuse"
+	KindSend        Kind = "send"
+	KindFirstToken  Kind = "first_token"
+	KindAnswer      Kind = "answer"
+	KindSettle      Kind = "settle"
+	KindLease       Kind = "lease"
+	KindReturn      Kind = "return"
+	KindTransfer    Kind = "transfer"
+	KindSegment     Kind = "segment"
+	KindClaim       Kind = "claim"
+	KindOutcome     Kind = "outcome"
+	KindPlan        Kind = "plan"
+	KindConfirm     Kind = "confirm"
+	KindRevision    Kind = "revision"
+	KindPeer        Kind = "peer"
+	KindStoreState  Kind = "store_state"
+	KindUpstream    Kind = "upstream"
+	KindQuarantine  Kind = "quarantine"
+	KindEngineRun   Kind = "engine_run"
+	KindServiceRun  Kind = "service_run"
+	KindObjectWrite Kind = "object_write"
+	KindFault       Kind = "fault"
+)
+
+// Event is one entry of the time line.
+type Event struct {
+	At       Stamp              `json:"at"`
+	Process  string             `json:"process"`
+	Kind     Kind               `json:"kind"`
+	Request  nutmegid.RequestID `json:"request,omitempty"`
+	Budget   nutmegid.BudgetID  `json:"budget,omitempty"`
+	Upstream nutmegid.Upstream  `json:"upstream,omitempty"`
+	Tokens   nutmegid.Tokens    `json:"tokens,omitempty"`
+	Revision nutmegid.Revision  `json:"revision,omitempty"`
+	Detail   string             `json:"detail,omitempty"`
+}
+
+// Filter selects events. Empty fields match everything.
+type Filter struct {
+	Request  nutmegid.RequestID
+	Budget   nutmegid.BudgetID
+	Upstream nutmegid.Upstream
+	Process  string
+	Kind     Kind
+}
+
+// Match reports whether e passes the filter.
+func (f Filter) Match(e Event) bool {
+	return matches(f.Request, e.Request) &&
+		matches(f.Budget, e.Budget) &&
+		matches(f.Upstream, e.Upstream) &&
+		matches(f.Process, e.Process) &&
+		matches(f.Kind, e.Kind)
+}
+
+func matches[T ~string](want, got T) bool {
+	return want == "" || want == got
+}
+
+// RingConfig configures a ring.
+type RingConfig struct {
+	Process string
+	Clock   *Clock
+	Size    int // events; DefaultRingSize when zero
+}
+
+// Ring keeps the latest events of one process.
+type Ring struct {
+	cfg RingConfig
+
+	mu     sync.Mutex
+	events []Event
+	next   int
+}
+
+// NewRing returns an empty ring.
+func NewRing(cfg RingConfig) *Ring {
+	if cfg.Size == 0 {
+		cfg.Size = DefaultRingSize
+	}
+	return &Ring{cfg: cfg}
+}
+
+// Clock returns the clock that stamps the ring's events.
+func (r *Ring) Clock() *Clock {
+	return r.cfg.Clock
+}
+
+// Record stamps e and keeps it, in place of the oldest when the ring is full.
+func (r *Ring) Record(e Event) {
+	e.Process = r.cfg.Process
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e.At = r.cfg.Clock.Now()
+	if len(r.events) < r.cfg.Size {
+		r.events = append(r.events, e)
+		return
+	}
+	r.events[r.next] = e
+	r.next = (r.next + 1) % r.cfg.Size
+}
+
+// Events returns the kept events that pass f, oldest first.
+func (r *Ring) Events(f Filter) []Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	kept := make([]Event, 0, len(r.events))
+	for i := range r.events {
+		e := r.events[(r.next+i)%len(r.events)]
+		if f.Match(e) {
+			kept = append(kept, e)
+		}
+	}
+	return kept
+}
+
+// Merge joins the events of several processes in the order of their stamps.
+func Merge(lists ...[]Event) []Event {
+	merged := slices.Concat(lists...)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		if a.At.Less(b.At) {
+			return -1
+		}
+		if b.At.Less(a.At) {
+			return 1
+		}
+		return cmp.Compare(a.Process, b.Process)
+	})
+	return merged
+}
