--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -129,26 +129,6 @@
 	})
 }
 
-func (n *Node) buildBudget() {
-	b := n.cfg.Settings.Budget
-	policy := nutmegbudget.RateProportional{Horizon: time.Duration(b.Horizon), MinLease: b.MinLease}
-	if policy.Horizon == 0 {
-		policy.Horizon = nutmegbudget.DefaultHorizon
-	}
-	if policy.MinLease == 0 {
-		policy.MinLease = nutmegbudget.DefaultMinLease
-	}
-	n.holder = nutmegbudget.NewHolder(nutmegbudget.HolderConfig{
-		Writer:         n.writer,
-		Incarnation:    n.incarnation,
-		Instance:       n.cfg.Settings.Instance.Name,
-		Shards:         b.Shards,
-		Policy:         policy,
-		CommitInterval: time.Duration(b.CommitInterval),
-		OnCommit:       n.committed,
-	})
-}
-
 func (n *Node) buildRouting() {
 	n.pool = nutmegroute.NewPool(nutmegroute.PoolConfig{
 		Chooser: nutmegroute.NewTwoChoices(uint64(time.Now().UnixNano())),
@@ -282,31 +262,9 @@
 	n.log.WithField("state", state).Warn("platform state changed")
 }
 
-func (n *Node) committed(id nutmegid.BudgetID, settled, granted nutmegid.Tokens) {
-	n.ring.Record(nutmegtime.Event{
-		Kind: nutmegtime.KindLease, Budget: id, Tokens: granted,
-		Detail: fmt.Sprintf("settled %d", settled),
-	})
-}
-
 func (n *Node) segmentWritten(s nutmegledger.Segment) {
 	n.ring.Record(nutmegtime.Event{
 		Kind:   nutmegtime.KindSegment,
 		Detail: fmt.Sprintf("sequence %d, %d lines", s.Sequence, len(s.Lines)),
 	})
 }
-
-// topUps applies the budget part of confirmed plans.
-type topUps struct {
-	node *Node
-}
-
-// TopUp implements nutmegconf.Budgets.
-func (t topUps) TopUp(ctx context.Context, topUp nutmegconf.TopUp) error {
-	shard := nutmegbudget.ShardOf(topUp.Budget, t.node.cfg.Settings.Budget.Shards)
-	key := nutmegstore.Key{Kind: nutmegbudget.ShardKind, Name: nutmegbudget.ShardName(shard)}
-	_, err := nutmegstore.Update(ctx, t.node.writer, key, func(s *nutmegbudget.Shard) error {
-		return s.TopUp(topUp.Budget, topUp.ID, topUp.Tokens)
-	})
-	return err
-}
