Choose upstreams through Pick: admission by priority and workspace, subsets, prefixes, health, leaving

Cause: the pool knew only own requests in flight, had no queue, and forgot a retired upstream's address while its streams ran. Pool.Pick admits by priority and by deficit round robin over workspaces, then chooses among a rendezvous subset; Pick.Done judges the upstream.

--- a/nutmegnode/callers.go
+++ b/nutmegnode/callers.go
@@ -204,7 +204,10 @@
 		Model:     parsed.Model,
 		Body:      body,
 		Bound:     nutmegid.Tokens(len(parsed.Messages)) + parsed.MaxTokens + requestOverhead,
-		Priority:  priorityLevel(r.caller.Priority),
+		Priority:  int(priorityLevel(r.caller.Priority)),
+
+		PromptTokens: promptTokens(parsed.Messages),
+		Prefix:       nutmegroute.PrefixBlocks(parsed.Messages),
 	}, parsed, nil
 }
 
@@ -220,19 +223,6 @@
 	return json.Marshal(fields)
 }
 
-func priorityLevel(p nutmegconf.Priority) int {
-	levels := map[nutmegconf.Priority]int{
-		nutmegconf.PriorityCheck:  0,
-		nutmegconf.PriorityLookUp: 1,
-		nutmegconf.PrioritySteady: 2,
-		nutmegconf.PriorityBatch:  3,
-	}
-	if level, ok := levels[p]; ok {
-		return level
-	}
-	return levels[nutmegconf.PrioritySteady]
-}
-
 // settle counts what a request used, on budgets and in the ledger.
 func (n *Node) settle(r *request, reservation nutmegbudget.Reservation, chat nutmegroute.Chat, use nutmegroute.Use, err error) {
 	if err != nil && nutmegroute.RanOf(err) == nutmegroute.RanNo {
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -129,14 +129,6 @@
 	})
 }
 
-func (n *Node) buildRouting() {
-	n.pool = nutmegroute.NewPool(nutmegroute.PoolConfig{
-		Chooser: nutmegroute.NewTwoChoices(uint64(time.Now().UnixNano())),
-	})
-	n.sender = nutmegroute.NewSender(nutmegroute.SenderConfig{Pool: n.pool, Dial: n.cfg.Dial})
-	n.view.OnApply(n.applied)
-}
-
 // Start listens and takes requests.
 func (n *Node) Start() error {
 	l := n.cfg.Settings.Listen
--- a/nutmegnode/services.go
+++ b/nutmegnode/services.go
@@ -29,6 +29,9 @@
 		Path:    "/" + chi.URLParam(r.Request, "*"),
 		Header:  r.Header,
 		Body:    r.body,
+
+		Workspace: r.caller.Workspace,
+		Priority:  priorityLevel(rule.Priority),
 	}
 	if rule.Rule == nutmegconf.RuleProtected {
 		return n.protected(w, r, call)
--- a/nutmegnode/watch.go
+++ b/nutmegnode/watch.go
@@ -4,9 +4,7 @@
 	"context"
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
-	"github.com/nutmegwind/nutmegwind/nutmegroute"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
-	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
 // watchLoop follows the configuration's head object.
@@ -27,17 +25,3 @@
 	}
 	n.view.Apply(&doc.Body)
 }
-
-// applied puts a new configuration into force at the pool.
-func (n *Node) applied(c *nutmegconf.Config) {
-	var targets []nutmegroute.Target
-	for name, u := range c.Upstreams {
-		if u.Retired {
-			continue
-		}
-		targets = append(targets, nutmegroute.Target{Upstream: name, URL: u.URL, Models: u.Models, Routes: u.Routes})
-	}
-	n.pool.Set(targets)
-	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindRevision, Revision: c.Revision})
-	n.log.WithField("revision", c.Revision).Info("configuration in force")
-}
--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -11,3 +11,57 @@
 	maxEventBytes = 1 << 20
 	maxAnswerSize = 16 << 20 // bytes of a plain service's answer
 )
+
+// PrefixBlockBytes is the length of a block of a prompt that engines cache as a whole.
+const PrefixBlockBytes = 1024
+
+const (
+	blockTokens      = PrefixBlockBytes / 4
+	maxPrefixBlocks  = 16
+	maxHolders       = 6
+	maxPrefixEntries = 16384 // of one model
+)
+
+const (
+	// DefaultSubset is the number of upstreams of one model at an instance.
+	DefaultSubset = 32
+	// DefaultEngineSlots are the streams of an engine that reports none.
+	DefaultEngineSlots = 64
+	// DefaultServiceSlots are the calls that a plain service takes at once.
+	DefaultServiceSlots = 256
+
+	minOwners   = 2 // instances that use an upstream, at least
+	rankMix     = 0x9e3779b97f4a7c15
+	randomTries = 4
+
+	streamWeight = 16.0  // prompt tokens
+	queuedWeight = 512.0 // prompt tokens
+)
+
+const (
+	reportHalfLife = 2 * time.Second
+	historySize    = 32
+	historyStep    = 50 * time.Millisecond
+	slowStart      = 10 * time.Second
+	slowStartShare = 0.1 // of the full weight at the begin of a slow start
+)
+
+const (
+	// DefaultMaxWaiting is the number of requests of one priority that wait for one model.
+	DefaultMaxWaiting = 1024
+
+	fairQuantum = 2048 // tokens of a workspace's turn
+	paceWindow  = 16   // ends that the mean time between ends covers
+)
+
+const (
+	// DefaultFailures is the number of failures in a row that eject an upstream.
+	DefaultFailures = 3
+	// DefaultEjection is the time of a first ejection.
+	DefaultEjection = 5 * time.Second
+	// DefaultMaxEjected is the share of upstreams that may be ejected at once.
+	DefaultMaxEjected = 0.5
+
+	maxEjectionDoublings = 4
+	failedProbes         = 2 // in a row
+)
--- a/nutmegroute/errors.go
+++ b/nutmegroute/errors.go
@@ -30,6 +30,8 @@
 	KindUnreachable  ErrorKind = "upstream_unreachable"
 	KindBroken       ErrorKind = "stream_broken"
 	KindOverran      ErrorKind = "reservation_overrun"
+	KindOverloaded   ErrorKind = "overloaded"
+	KindExpired      ErrorKind = "expired_waiting"
 	KindUpstreamCode ErrorKind = "upstream_error"
 )
 
--- /dev/null
+++ b/nutmegroute/leaving.go
@@ -0,0 +1,105 @@
+package nutmegroute
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"sync"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// LeavingNote says that an upstream is leaving, or is back. Serial is the
+// version of the platform's live object that said so; the higher one holds,
+// and between equal ones the note that says leaving.
+type LeavingNote struct {
+	Upstream nutmegid.Upstream `json:"upstream"`
+	Serial   uint64            `json:"serial"`
+	Leaving  bool              `json:"leaving"`
+}
+
+// newer says whether a replaces b.
+func (a LeavingNote) newer(b LeavingNote) bool {
+	if a.Serial != b.Serial {
+		return a.Serial > b.Serial
+	}
+	return a.Leaving && !b.Leaving
+}
+
+// Leaving is what an instance knows of leaving upstreams.
+type Leaving struct {
+	mu    sync.Mutex
+	notes map[nutmegid.Upstream]LeavingNote
+}
+
+// NewLeaving returns a record without notes.
+func NewLeaving() *Leaving {
+	return &Leaving{notes: make(map[nutmegid.Upstream]LeavingNote)}
+}
+
+// merge takes in notes and says whether one of them was news.
+func (l *Leaving) merge(notes []LeavingNote) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	news := false
+	for _, n := range notes {
+		known, ok := l.notes[n.Upstream]
+		if ok && !n.newer(known) {
+			continue
+		}
+		l.notes[n.Upstream] = n
+		news = true
+	}
+	return news
+}
+
+func (l *Leaving) has(u nutmegid.Upstream) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.notes[u].Leaving
+}
+
+// export returns the notes that say leaving and the latest that say back, in order of names.
+func (l *Leaving) export() []LeavingNote {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	notes := slices.Collect(maps.Values(l.notes))
+	slices.SortFunc(notes, func(a, b LeavingNote) int { return cmp.Compare(a.Upstream, b.Upstream) })
+	return notes
+}
+
+// keep drops the notes of upstreams that the configuration no longer has.
+func (l *Leaving) keep(known func(nutmegid.Upstream) bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	maps.DeleteFunc(l.notes, func(u nutmegid.Upstream, _ LeavingNote) bool { return !known(u) })
+}
+
+// ExportLeaving returns the notes to tell peers.
+func (p *Pool) ExportLeaving() []LeavingNote {
+	return p.leaving.export()
+}
+
+// MergeLeaving takes in notes of the platform's live list or of peers. From
+// its return on, no new request goes to an upstream that is leaving.
+func (p *Pool) MergeLeaving(notes []LeavingNote) {
+	if !p.leaving.merge(notes) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.applyLeaving()
+}
+
+// applyLeaving marks candidates and adjusts the queues. Callers hold p.mu.
+func (p *Pool) applyLeaving() {
+	for u, c := range p.all {
+		leaving := p.leaving.has(u)
+		if c.leaving.Swap(leaving) && !leaving {
+			c.warmFrom.Store(int64(p.now()))
+		}
+	}
+	for _, l := range p.lanes {
+		l.queue.SetCapacity(l.set.capacity())
+	}
+}
--- /dev/null
+++ b/nutmegroute/prefix.go
@@ -0,0 +1,141 @@
+package nutmegroute
+
+import (
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// PrefixBlocks returns the hashes of a prompt's prefixes: the n-th is of its
+// first n blocks of PrefixBlockBytes. Engines name their cached prefixes so.
+func PrefixBlocks(prompt []byte) []uint64 {
+	n := min(len(prompt)/PrefixBlockBytes, maxPrefixBlocks)
+	blocks := make([]uint64, 0, n)
+	digest := xxhash.New()
+	for i := range n {
+		_, _ = digest.Write(prompt[i*PrefixBlockBytes : (i+1)*PrefixBlockBytes])
+		blocks = append(blocks, digest.Sum64())
+	}
+	return blocks
+}
+
+// holders are candidates that hold a prefix, a few at most.
+type holders struct {
+	list [maxHolders]*Candidate
+	n    int
+}
+
+func (h *holders) add(c *Candidate) {
+	for _, known := range h.list[:h.n] {
+		if known == c {
+			return
+		}
+	}
+	if h.n < maxHolders {
+		h.list[h.n] = c
+		h.n++
+		return
+	}
+	copy(h.list[:], h.list[1:])
+	h.list[maxHolders-1] = c
+}
+
+func (h *holders) remove(c *Candidate) {
+	for i, known := range h.list[:h.n] {
+		if known == c {
+			h.n--
+			h.list[i] = h.list[h.n]
+			h.list[h.n] = nil
+			return
+		}
+	}
+}
+
+// cached returns the tokens that c has of a prefix of depth blocks.
+func (h *holders) cached(c *Candidate, depth int64) int64 {
+	for _, known := range h.list[:h.n] {
+		if known == c {
+			return depth * blockTokens
+		}
+	}
+	return 0
+}
+
+// prefixIndex tells which candidates are believed to hold a prefix. Entries
+// come from own requests at once and from the engines' events later.
+type prefixIndex struct {
+	mu      sync.RWMutex
+	entries map[uint64]holders
+}
+
+func newPrefixIndex() *prefixIndex {
+	return &prefixIndex{entries: make(map[uint64]holders)}
+}
+
+// find returns the holders of the longest known prefix and its blocks.
+func (x *prefixIndex) find(blocks []uint64) (holders, int64) {
+	if len(blocks) == 0 {
+		return holders{}, 0
+	}
+	x.mu.RLock()
+	defer x.mu.RUnlock()
+	for i := len(blocks) - 1; i >= 0; i-- {
+		if found, ok := x.entries[blocks[i]]; ok && found.n > 0 {
+			return found, int64(i + 1)
+		}
+	}
+	return holders{}, 0
+}
+
+func (x *prefixIndex) add(blocks []uint64, c *Candidate) {
+	if len(blocks) == 0 {
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, b := range blocks {
+		found, ok := x.entries[b]
+		if !ok && len(x.entries) >= maxPrefixEntries {
+			x.dropOne()
+		}
+		found.add(c)
+		x.entries[b] = found
+	}
+}
+
+func (x *prefixIndex) remove(block uint64, c *Candidate) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	found, ok := x.entries[block]
+	if !ok {
+		return
+	}
+	found.remove(c)
+	if found.n == 0 {
+		delete(x.entries, block)
+		return
+	}
+	x.entries[block] = found
+}
+
+// forget removes a candidate from all entries.
+func (x *prefixIndex) forget(c *Candidate) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for b, found := range x.entries {
+		found.remove(c)
+		if found.n == 0 {
+			delete(x.entries, b)
+			continue
+		}
+		x.entries[b] = found
+	}
+}
+
+// dropOne makes room: map order picks any entry.
+func (x *prefixIndex) dropOne() {
+	for b := range x.entries {
+		delete(x.entries, b)
+		return
+	}
+}
--- /dev/null
+++ b/nutmegroute/queue_test.go
@@ -0,0 +1,219 @@
+package nutmegroute
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// occupy takes n places for a workspace and returns when all are taken.
+func occupy(t *testing.T, q *Queue, p Priority, n int) {
+	t.Helper()
+	for range n {
+		if err := q.Enter(t.Context(), p, "first", 1); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// enter waits in the background and sends name to order when its turn comes.
+func enter(t *testing.T, q *Queue, p Priority, w nutmegid.Workspace, tokens int64, order chan<- string) {
+	t.Helper()
+	go func() {
+		if q.Enter(t.Context(), p, w, tokens) == nil {
+			order <- string(w)
+		}
+	}()
+	synctest.Wait()
+}
+
+func TestUrgentRequestsGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{}, 10)
+		occupy(t, q, PriorityCheck, 10)
+		occupy(t, q, PrioritySteady, 1) // each priority has a place of its own
+		occupy(t, q, PriorityLookUp, 1)
+		occupy(t, q, PriorityBatch, 1)
+		order := make(chan string, 8)
+		enter(t, q, PriorityBatch, "batch", 1, order)
+		enter(t, q, PrioritySteady, "steady", 1, order)
+		enter(t, q, PriorityLookUp, "look_up", 1, order)
+		for range 8 {
+			q.Leave(PriorityCheck)
+			synctest.Wait()
+		}
+		got := []string{<-order, <-order}
+		if diff := cmp.Diff([]string{"look_up", "steady"}, got); diff != "" {
+			t.Errorf("order (-want +got):\n%s", diff)
+		}
+		q.Leave(PriorityBatch)
+		if diff := cmp.Diff("batch", <-order); diff != "" {
+			t.Errorf("batch request (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestBatchPlansLeaveRoomAndDoNotStarve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{}, 100)
+		order := make(chan string, 300)
+		for range 200 {
+			enter(t, q, PriorityBatch, "batch", 1, order)
+		}
+		if diff := cmp.Diff(60, len(order)); diff != "" {
+			t.Errorf("batch requests that run (-want +got):\n%s", diff)
+		}
+		occupy(t, q, PriorityCheck, 40)
+		before := len(order)
+		for range 60 {
+			q.Leave(PriorityBatch)
+		}
+		synctest.Wait()
+		if len(order)-before < 5 {
+			t.Errorf("%d batch requests started while checks are busy; want 5", len(order)-before)
+		}
+	})
+}
+
+func TestLargeWorkspaceDoesNotStarveASmallOne(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{}, 20)
+		occupy(t, q, PrioritySteady, 17)
+		order := make(chan string, 100)
+		for range 50 {
+			enter(t, q, PrioritySteady, "large", 2000, order)
+		}
+		for range 5 {
+			enter(t, q, PrioritySteady, "small", 2000, order)
+		}
+		for range 10 {
+			q.Leave(PrioritySteady)
+			synctest.Wait()
+		}
+		counts := make(map[string]int)
+		for range 10 {
+			counts[<-order]++
+		}
+		if diff := cmp.Diff(map[string]int{"large": 5, "small": 5}, counts); diff != "" {
+			t.Errorf("turns (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestFairnessCountsTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{}, 20)
+		occupy(t, q, PrioritySteady, 17)
+		order := make(chan string, 100)
+		for range 20 {
+			enter(t, q, PrioritySteady, "long", 8*fairQuantum, order)
+			enter(t, q, PrioritySteady, "short", fairQuantum, order)
+		}
+		for range 18 {
+			q.Leave(PrioritySteady)
+			synctest.Wait()
+		}
+		counts := make(map[string]int)
+		for range 18 {
+			counts[<-order]++
+		}
+		if diff := cmp.Diff(map[string]int{"long": 2, "short": 16}, counts); diff != "" {
+			t.Errorf("turns (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestFullQueueRefusesTheLargestWorkspace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{MaxWaiting: 10}, 1)
+		occupy(t, q, PriorityBatch, 1)
+		refused := make(chan error, 20)
+		for range 11 {
+			go func() { refused <- q.Enter(t.Context(), PriorityBatch, "large", 1) }()
+			synctest.Wait()
+		}
+		wantOverloaded(t, <-refused)
+		order := make(chan string, 1)
+		enter(t, q, PriorityBatch, "small", 1, order)
+		wantOverloaded(t, <-refused)
+		if diff := cmp.Diff(10, q.Waiting(PriorityBatch)); diff != "" {
+			t.Errorf("waiting (-want +got):\n%s", diff)
+		}
+		for range 10 {
+			q.Leave(PriorityBatch)
+		}
+		synctest.Wait()
+		if diff := cmp.Diff("small", <-order); diff != "" {
+			t.Errorf("small workspace (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func wantOverloaded(t *testing.T, err error) {
+	t.Helper()
+	var e *Error
+	if !errors.As(err, &e) || e.Kind != KindOverloaded || e.Ran != RanNo {
+		t.Errorf("error is %v; want overloaded, not run", err)
+	}
+}
+
+func TestWaitingEndsWithTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{}, 1)
+		occupy(t, q, PrioritySteady, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		err := q.Enter(ctx, PrioritySteady, "rack", 1)
+		if diff := cmp.Diff(RanNo, RanOf(err)); diff != "" {
+			t.Errorf("ran (-want +got):\n%s", diff)
+		}
+		if diff := cmp.Diff(0, q.Waiting(PrioritySteady)); diff != "" {
+			t.Errorf("waiting (-want +got):\n%s", diff)
+		}
+	})
+}
+
+func TestRequestPastItsDeadlineIsRefusedEarly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		q := NewQueue(QueueConfig{}, 1)
+		for range 100 {
+			occupy(t, q, PrioritySteady, 1)
+			time.Sleep(time.Second)
+			q.Leave(PrioritySteady)
+		}
+		occupy(t, q, PrioritySteady, 1)
+		order := make(chan string, 10)
+		for i := range 5 {
+			enter(t, q, PrioritySteady, nutmegid.Workspace(fmt.Sprint(i)), 1, order)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+		defer cancel()
+		before := time.Now()
+		wantOverloaded(t, q.Enter(ctx, PrioritySteady, "late", 1))
+		if waited := time.Since(before); waited != 0 {
+			t.Errorf("the refusal came after %v; want at once", waited)
+		}
+		for range 6 {
+			q.Leave(PrioritySteady)
+		}
+		synctest.Wait()
+	})
+}
+
+func BenchmarkQueue(b *testing.B) {
+	q := NewQueue(QueueConfig{}, 1000)
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := q.Enter(b.Context(), PrioritySteady, "rack", 100); err != nil {
+			b.Fatal(err)
+		}
+		q.Leave(PrioritySteady)
+	}
+}
--- a/nutmegroute/sender.go
+++ b/nutmegroute/sender.go
@@ -58,6 +58,9 @@
 	Body      []byte          // the JSON body to send, with stream set
 	Bound     nutmegid.Tokens // the reserved tokens
 	Priority  int             // lower goes first
+
+	PromptTokens int64    // estimate
+	Prefix       []uint64 // of PrefixBlocks
 }
 
 // Event is one server-sent event of an answer.
@@ -91,12 +94,24 @@
 // sink. After an error that leaves RanYes or RanUnknown, Use holds the tokens
 // that must be counted as spent.
 func (s *Sender) Chat(ctx context.Context, chat Chat, sink func(Event) error) (Use, error) {
-	c, ok := s.cfg.Pool.ForModel(chat.Model)
-	if !ok {
-		return Use{}, &Error{Kind: KindNoUpstream, Ran: RanNo, Remedy: fmt.Sprintf("no upstream serves model %q; try again later", chat.Model)}
+	c, err := s.cfg.Pool.Pick(ctx, chat.ask())
+	if err != nil {
+		return Use{}, err
 	}
-	c.inFlight.Add(1)
-	defer c.inFlight.Add(-1)
+	use, err := s.chat(ctx, c, chat, sink)
+	c.Done(err)
+	return use, err
+}
+
+func (c *Chat) ask() Ask {
+	return Ask{
+		Model: c.Model, Workspace: c.Workspace, Priority: Priority(c.Priority),
+		PromptTokens: c.PromptTokens, Tokens: int64(c.Bound), Prefix: c.Prefix,
+	}
+}
+
+// chat is one attempt at the picked upstream.
+func (s *Sender) chat(ctx context.Context, c *Pick, chat Chat, sink func(Event) error) (Use, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+"/v1/chat/completions", bytes.NewReader(chat.Body))
@@ -120,7 +135,7 @@
 
 // stream passes events on until the end mark. Silence longer than the idle
 // timeout cancels the request.
-func (s *Sender) stream(cancel func(), c *Candidate, chat Chat, body io.Reader, sink func(Event) error) (Use, error) {
+func (s *Sender) stream(cancel func(), c *Pick, chat Chat, body io.Reader, sink func(Event) error) (Use, error) {
 	silence := time.AfterFunc(s.cfg.IdleTimeout, cancel)
 	defer silence.Stop()
 	use := Use{Upstream: c.Upstream, Tokens: chat.Bound}
@@ -129,6 +144,7 @@
 			return use, broken(c.Upstream, err)
 		}
 		silence.Reset(s.cfg.IdleTimeout)
+		c.FirstToken()
 		data := []byte(ev.Data)
 		if bytes.Equal(data, endMark) {
 			return use, sink(Event{Data: data, Last: true})
@@ -176,10 +192,14 @@
 	Request nutmegid.RequestID
 	Route   nutmegid.Route
 	Key     nutmegid.OrderKey
-	Method  string
-	Path    string
-	Header  http.Header
-	Body    []byte
+
+	Workspace nutmegid.Workspace
+	Priority  Priority
+
+	Method string
+	Path   string
+	Header http.Header
+	Body   []byte
 }
 
 // Answer is a plain service's whole answer.
@@ -192,12 +212,17 @@
 
 // Call sends a call to one upstream of its route, once.
 func (s *Sender) Call(ctx context.Context, call Call) (Answer, error) {
-	c, ok := s.cfg.Pool.ForRoute(call.Route)
-	if !ok {
-		return Answer{}, &Error{Kind: KindNoUpstream, Ran: RanNo, Remedy: fmt.Sprintf("no upstream serves route %q; try again later", call.Route)}
+	c, err := s.cfg.Pool.Pick(ctx, Ask{Route: call.Route, Workspace: call.Workspace, Priority: call.Priority})
+	if err != nil {
+		return Answer{}, err
 	}
-	c.inFlight.Add(1)
-	defer c.inFlight.Add(-1)
+	answer, err := s.call(ctx, c, call)
+	c.Done(err)
+	return answer, err
+}
+
+// call is one attempt at the picked upstream.
+func (s *Sender) call(ctx context.Context, c *Pick, call Call) (Answer, error) {
 	req, err := http.NewRequestWithContext(ctx, call.Method, c.URL+call.Path, bytes.NewReader(call.Body))
 	if err != nil {
 		return Answer{}, &Error{Kind: KindUnreachable, Ran: RanNo, Upstream: c.Upstream, Remedy: "correct the path", Err: err}
