--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -42,6 +42,7 @@
 	reportHalfLife = 2 * time.Second
 	historySize    = 32
 	historyStep    = 50 * time.Millisecond
+	retiredKept    = time.Hour // of the address of a retired upstream
 	slowStart      = 10 * time.Second
 	slowStartShare = 0.1 // of the full weight at the begin of a slow start
 )
@@ -65,3 +66,13 @@
 	maxEjectionDoublings = 4
 	failedProbes         = 2 // in a row
 )
+
+const (
+	// DefaultProbeInterval is the time between two probes of one upstream.
+	DefaultProbeInterval = 250 * time.Millisecond
+	// DefaultProbeRate bounds the probes of an instance, in one second.
+	DefaultProbeRate = 100
+
+	probeTimeout   = 2 * time.Second
+	maxReportBytes = 1 << 20
+)
--- a/nutmegroute/health.go
+++ b/nutmegroute/health.go
@@ -110,8 +110,21 @@
 		return
 	}
 	c.probes++
+	now := p.now()
+	if !c.usable(now) && !c.leaving.Load() {
+		c.extend(now + moment(probeTimeout))
+		return
+	}
 	if c.probes >= failedProbes {
 		c.probes = 0
 		p.eject(c, set)
 	}
 }
+
+// extend keeps an ejected candidate out while its probes fail.
+func (c *Candidate) extend(until moment) {
+	if int64(until) > c.ejectedUntil.Load() {
+		c.ejectedUntil.Store(int64(until))
+		c.warmFrom.Store(int64(until))
+	}
+}
--- a/nutmegroute/leaving.go
+++ b/nutmegroute/leaving.go
@@ -68,11 +68,11 @@
 	return notes
 }
 
-// keep drops the notes of upstreams that the configuration no longer has.
-func (l *Leaving) keep(known func(nutmegid.Upstream) bool) {
+// told is the note of an upstream that says itself that it is leaving.
+func (l *Leaving) told(u nutmegid.Upstream) LeavingNote {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	maps.DeleteFunc(l.notes, func(u nutmegid.Upstream, _ LeavingNote) bool { return !known(u) })
+	return LeavingNote{Upstream: u, Serial: l.notes[u].Serial, Leaving: true}
 }
 
 // ExportLeaving returns the notes to tell peers.
--- a/nutmegroute/pool.go
+++ b/nutmegroute/pool.go
@@ -120,7 +120,7 @@
 		leaving: NewLeaving(),
 		all:     make(map[nutmegid.Upstream]*Candidate),
 		lanes:   make(map[laneKey]*lane),
-		retired: make(map[nutmegid.Upstream]string),
+		retired: make(map[nutmegid.Upstream]retired),
 	}
 }
 
@@ -183,11 +183,22 @@
 			continue
 		}
 		c.leaving.Store(true)
-		p.retired[u] = c.URL
+		p.retired[u] = retired{url: c.URL, at: p.now()}
 		for _, l := range p.lanes {
 			l.set.index.forget(c)
 		}
 	}
+	for u, r := range p.retired {
+		if p.all[u] != nil || p.now()-r.at > moment(retiredKept) {
+			delete(p.retired, u)
+		}
+	}
+}
+
+// retired is an upstream that is no target any more; its streams may still run.
+type retired struct {
+	url string
+	at  moment
 }
 
 // candidate keeps what is known of a target; a new one starts slowly unless
@@ -237,8 +248,8 @@
 	if c, ok := p.all[u]; ok {
 		return c.URL, true
 	}
-	url, ok := p.retired[u]
-	return url, ok
+	r, ok := p.retired[u]
+	return r.url, ok
 }
 
 // Pick is one upstream chosen for one attempt of a request. Done must be called.
--- /dev/null
+++ b/nutmegroute/probe.go
@@ -0,0 +1,46 @@
+package nutmegroute
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+)
+
+// probe asks one upstream at intervals.
+type probe struct {
+	cfg       ProberConfig
+	candidate *Candidate
+	set       atomic.Pointer[Set]
+	interval  atomic.Int64
+	after     uint64 // sequence of the next cache event
+	ctx       context.Context
+	cancel    context.CancelFunc
+}
+
+func newProbe(cfg ProberConfig, c *Candidate, set *Set, interval time.Duration) *probe {
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &probe{cfg: cfg, candidate: c, ctx: ctx, cancel: cancel}
+	p.set.Store(set)
+	p.interval.Store(int64(interval))
+	return p
+}
+
+// loop probes until its end. The first wait is random, so that instances that
+// start together do not ask together.
+func (p *probe) loop() {
+	wait := rand.N(time.Duration(p.interval.Load()))
+	for {
+		timer := time.NewTimer(wait)
+		select {
+		case <-p.ctx.Done():
+			timer.Stop()
+			return
+		case <-timer.C:
+		}
+		if err := p.once(); !p.isStopped(err) {
+			p.cfg.Pool.probed(p.candidate, p.set.Load(), err == nil)
+		}
+		wait = time.Duration(p.interval.Load())
+	}
+}
