--- a/nutmegroute/pool.go
+++ b/nutmegroute/pool.go
@@ -100,7 +100,7 @@
 	mu      sync.RWMutex
 	all     map[nutmegid.Upstream]*Candidate
 	lanes   map[laneKey]*lane
-	retired map[nutmegid.Upstream]string // URLs, for streams that still run
+	retired map[nutmegid.Upstream]retired
 	targets []Target
 	fleet   fleet
 }
