--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -2,31 +2,56 @@
 
 import (
 	"sync"
+	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
-// account is this instance's share of one budget. Its lease in the store holds
-// free + reserved + spent + returning tokens.
+// account is this instance's share of one budget. What it holds, with the
+// transfers that the store does not know yet, is its lease in the store.
 type account struct {
-	id nutmegid.BudgetID
+	id        nutmegid.BudgetID
+	committer *committer
+	terms     Terms
 
 	mu        sync.Mutex
 	known     bool            // the budget exists in the store
 	free      nutmegid.Tokens // may be reserved
 	reserved  nutmegid.Tokens // promised to running requests
 	spent     nutmegid.Tokens // used, not settled yet
+	settling  nutmegid.Tokens // part of spent in the commit under way
 	returning nutmegid.Tokens // being given back by the commit under way
 	need      nutmegid.Tokens // lacking for waiting requests
-	interval  nutmegid.Tokens // used since the last commit
+	interval  nutmegid.Tokens // used since the last tick
 	rate      float64         // tokens a second
+	quiet     int             // ticks since the last use or need
+
+	granted nutmegid.Tokens // since the lease began, as in the store
+	taken   nutmegid.Tokens // by witnesses since the lease began
+	acked   nutmegid.Tokens // of granted, free for use
+	stored  nutmegid.Tokens // acked as in the store
+
+	remaining nutmegid.Tokens // of the budget, when last seen
+	holders   int
+	rich      []nutmegid.Incarnation
+	transfers map[nutmegid.TransferID]*move
+	dryUntil  time.Time       // no tokens are searched for before
+	drySize   nutmegid.Tokens // smallest amount that was not found
+}
+
+// move is one side's memory of a transfer.
+type move struct {
+	Transfer
+	credited bool // of a receiver: the tokens are in free
+	named    bool // the store knows this side's naming
+	asking   bool // of a receiver: the giver's answer is awaited
 }
 
 // take moves n free tokens to reserved.
 func (a *account) take(n nutmegid.Tokens) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.free < n {
+	if a.free < n || a.committer.closed.Load() {
 		return false
 	}
 	a.free -= n
@@ -58,19 +83,211 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.need += n
+	a.quiet = 0
+}
+
+// lacking returns the tokens that free lacks to cover n.
+func (a *account) lacking(n nutmegid.Tokens) nutmegid.Tokens {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return n - a.free
+}
+
+// storeCovers reports whether the store was last seen to have what n lacks.
+func (a *account) storeCovers(n nutmegid.Tokens) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.remaining >= n-a.free
+}
+
+// hopeful reports whether another search for n tokens may succeed.
+func (a *account) hopeful(n nutmegid.Tokens) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.known && !a.committer.closed.Load() && a.free+a.remaining >= n
+}
+
+// dry reports whether n tokens were searched for in vain a moment ago.
+func (a *account) dry(n nutmegid.Tokens) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return n >= a.drySize && time.Now().Before(a.dryUntil)
+}
+
+func (a *account) noteDry(n nutmegid.Tokens) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now := time.Now(); now.After(a.dryUntil) || n < a.drySize {
+		a.drySize = n
+		a.dryUntil = now.Add(dryTime)
+	}
 }
 
 // assert panics when tokens appeared from nowhere: going on would overspend.
 func (a *account) assert() {
-	if a.free < 0 || a.reserved < 0 || a.spent < 0 || a.returning < 0 {
+	if a.free < 0 || a.reserved < 0 || a.spent < a.settling || a.returning < 0 || a.locked() < 0 {
 		panic("nutmegbudget: negative tokens in account " + string(a.id))
 	}
 }
 
+// locked tokens wait for a witness's acknowledgement.
+func (a *account) locked() nutmegid.Tokens {
+	return a.granted - a.taken - a.acked
+}
+
 func (a *account) held() nutmegid.Tokens {
-	return a.free + a.reserved + a.spent + a.returning
+	return a.free + a.reserved + a.spent + a.returning + a.locked()
+}
+
+// backing is the part of the holdings that the lease in the store covers
+// whatever becomes of the commit under way. Only so much may be given to
+// peers, so that no order of namings makes the lease negative.
+func (a *account) backing() nutmegid.Tokens {
+	n := a.free + a.reserved + a.spent - a.settling
+	for _, m := range a.transfers {
+		if m.Receiver == a.committer.holder.cfg.Incarnation && m.credited && !m.named {
+			n -= m.Tokens
+		}
+	}
+	return n
+}
+
+// snapshot prepares the account's entry of a batch. It reports false where
+// nothing needs to be written.
+func (a *account) snapshot(returnAll, mayReturn bool) (Entry, bool) {
+	a.settling = a.spent
+	if returnAll {
+		a.returning = a.free
+	} else if mayReturn {
+		a.returning = a.excess()
+	}
+	a.free -= a.returning
+	e := Entry{
+		Budget: a.id, Settle: a.settling, GiveBack: a.returning, Need: a.need, Rate: a.rate, Acked: a.acked,
+		Plain: a.terms.Slice == 0, Idle: a.idle(),
+	}
+	for _, m := range a.transfers {
+		if !m.named && (m.credited || m.Giver == a.committer.holder.cfg.Incarnation) {
+			e.Named = append(e.Named, m.Transfer)
+		}
+	}
+	changed := e.Settle > 0 || e.GiveBack > 0 || e.Need > 0 || len(e.Named) > 0 || a.acked != a.stored
+	return e, changed || returnAll && a.held() > 0
+}
+
+// excess is what the policy does not want to keep.
+func (a *account) excess() nutmegid.Tokens {
+	if a.need > 0 {
+		return 0
+	}
+	held := a.free + a.reserved + a.locked()
+	keep := a.terms.Policy.Keep(View{Rate: a.rate, Held: held, Granted: a.granted, Prepaid: maxTokens, Remaining: a.remaining, Holders: a.holders, Idle: a.idle()})
+	return max(0, min(a.free, held-keep))
+}
+
+// tick updates the spend rate, once per commit interval.
+func (a *account) tick(interval time.Duration) {
+	a.rate += rateWeight * (float64(a.interval)/interval.Seconds() - a.rate)
+	a.quiet++
+	if a.interval > 0 || a.need > 0 {
+		a.quiet = 0
+	}
+	a.interval = 0
 }
 
 func (a *account) idle() bool {
-	return a.held() == 0 && a.need == 0
+	return a.quiet > idleTicks && a.need == 0 && a.rate < idleRate
+}
+
+// undo takes back an entry that was not written.
+func (a *account) undo() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.settling = 0
+	a.free += a.returning
+	a.returning = 0
+}
+
+// finish takes the written state of the budget in and returns what was granted.
+func (a *account) finish(e Entry, s Share, r Result) nutmegid.Tokens {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.known = s.Known
+	if !s.Known {
+		a.settling = 0
+		a.free += a.returning
+		a.returning = 0
+		return 0
+	}
+	a.spent -= e.Settle
+	a.settling = 0
+	a.returning = 0
+	granted := s.Granted - a.granted
+	a.granted, a.taken, a.stored = s.Granted, s.Taken, e.Acked
+	if len(r.Witnesses) == 0 || e.Plain {
+		a.unlock(a.locked())
+		a.stored = a.acked
+	}
+	a.remaining, a.holders, a.rich = s.Remaining, s.Holders, s.Rich
+	a.finishTransfers(e, s, r.Released)
+	a.assert()
+	return granted
+}
+
+// unlock frees n locked tokens.
+func (a *account) unlock(n nutmegid.Tokens) {
+	a.acked += n
+	a.free += n
+}
+
+// finishTransfers forgets transfers that both sides have named, and credits
+// those whose tokens the giver named but whose answer was lost.
+func (a *account) finishTransfers(e Entry, s Share, released bool) {
+	for _, t := range e.Named {
+		a.transfers[t.ID].named = true
+	}
+	open := make(map[nutmegid.TransferID]bool, len(s.Transfers))
+	for _, t := range s.Transfers {
+		open[t.ID] = true
+		if t.Receiver == a.committer.holder.cfg.Incarnation && !t.NamedByReceiver && !released {
+			a.credit(t)
+		}
+	}
+	for id, m := range a.transfers {
+		if m.named && !m.asking && !open[id] {
+			delete(a.transfers, id)
+		}
+	}
+}
+
+// credit takes a transfer's tokens in, once per id.
+func (a *account) credit(t Transfer) {
+	m, ok := a.transfers[t.ID]
+	if ok && m.credited {
+		return
+	}
+	if !ok {
+		m = &move{}
+		a.remember(t.ID, m)
+	}
+	m.Transfer = Transfer{ID: t.ID, Giver: t.Giver, Receiver: t.Receiver, Tokens: t.Tokens}
+	m.credited = true
+	a.free += t.Tokens
+}
+
+func (a *account) remember(id nutmegid.TransferID, m *move) {
+	if a.transfers == nil {
+		a.transfers = make(map[nutmegid.TransferID]*move)
+	}
+	a.transfers[id] = m
+}
+
+// reset forgets a lease that the store does not know any more. All of it is
+// counted as spent there.
+func (a *account) reset() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.free, a.spent, a.settling, a.returning = 0, 0, 0, 0
+	a.granted, a.taken, a.acked, a.stored = 0, 0, 0, 0
+	a.transfers = nil
 }
--- /dev/null
+++ b/nutmegbudget/batch.go
@@ -0,0 +1,248 @@
+package nutmegbudget
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+)
+
+// Batch is one commit of one holder to one shard. Its number makes it apply
+// once, whoever writes it and however often.
+type Batch struct {
+	Incarnation nutmegid.Incarnation `json:"incarnation"`
+	Instance    nutmegid.Instance    `json:"instance"`
+	Number      uint64               `json:"number"`
+	// Joined says that an earlier batch has made the holder's record.
+	Joined bool `json:"joined,omitempty"`
+	// Drained says that a released holder holds nothing any more.
+	Drained bool `json:"drained,omitempty"`
+	// Leave ends the holder; nothing is granted.
+	Leave bool `json:"leave,omitempty"`
+	// Rewitness replaces the witnesses by Witnesses.
+	Rewitness bool                   `json:"rewitness,omitempty"`
+	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
+	// Keeper makes the holder the shard's keeper.
+	Keeper  bool    `json:"keeper,omitempty"`
+	Entries []Entry `json:"entries"`
+}
+
+// Entry is one budget's part of a batch.
+type Entry struct {
+	Budget   nutmegid.BudgetID `json:"budget"`
+	Settle   nutmegid.Tokens   `json:"settle,omitempty"`
+	GiveBack nutmegid.Tokens   `json:"give_back,omitempty"`
+	Need     nutmegid.Tokens   `json:"need,omitempty"`
+	Rate     float64           `json:"rate,omitempty"`
+	Idle     bool              `json:"idle,omitempty"`
+	Acked    nutmegid.Tokens   `json:"acked,omitempty"`
+	// Plain leaves the lease unwitnessed, whatever the holder's witnesses.
+	Plain bool       `json:"plain,omitempty"`
+	Named []Transfer `json:"named,omitempty"`
+}
+
+// Result is a shard's state after a batch, as far as its holder needs it.
+type Result struct {
+	// Gone says that the shard does not know the holder any more.
+	Gone      bool                   `json:"gone,omitempty"`
+	Released  bool                   `json:"released,omitempty"`
+	Epoch     uint64                 `json:"epoch,omitempty"`
+	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
+	Keeper    nutmegid.Incarnation   `json:"keeper,omitempty"`
+	Shares    []Share                `json:"shares"`
+}
+
+// Share is the state of one entry's budget.
+type Share struct {
+	Known     bool                   `json:"known"`
+	Granted   nutmegid.Tokens        `json:"granted"`
+	Taken     nutmegid.Tokens        `json:"taken,omitempty"`
+	Remaining nutmegid.Tokens        `json:"remaining"`
+	Holders   int                    `json:"holders"`
+	Rich      []nutmegid.Incarnation `json:"rich,omitempty"`
+	Stranded  nutmegid.Tokens        `json:"stranded,omitempty"`
+	Transfers []Transfer             `json:"transfers,omitempty"`
+}
+
+// Apply changes the shard by a batch, once, and returns ErrUnchanged where an
+// earlier attempt has written it or the holder is gone.
+func (s *Shard) Apply(batch Batch, policy func(nutmegid.BudgetID) Policy) error {
+	record := s.Holders[batch.Incarnation]
+	switch {
+	case record == nil && batch.Joined:
+		return nutmegstore.ErrUnchanged
+	case record == nil:
+		record = s.join(batch)
+	case record.Commit >= batch.Number:
+		return nutmegstore.ErrUnchanged
+	}
+	if batch.Rewitness && record.Released == 0 {
+		record.Witnesses = batch.Witnesses
+		record.Epoch++
+		s.forgetClosings(batch.Incarnation)
+	}
+	for _, e := range batch.Entries {
+		if err := s.applyEntry(batch, record, e, policy); err != nil {
+			return err
+		}
+	}
+	record.Commit = batch.Number
+	if batch.Keeper {
+		s.Keeper = batch.Incarnation
+	}
+	s.finish(batch, record)
+	return nil
+}
+
+func (s *Shard) join(batch Batch) *Record {
+	if s.Holders == nil {
+		s.Holders = make(map[nutmegid.Incarnation]*Record)
+	}
+	r := &Record{Instance: batch.Instance}
+	s.Holders[batch.Incarnation] = r
+	return r
+}
+
+func (s *Shard) forgetClosings(inc nutmegid.Incarnation) {
+	for _, b := range s.Budgets {
+		if l := b.leaseOf(inc); l != nil {
+			l.Closed = nil
+		}
+	}
+}
+
+func (s *Shard) applyEntry(batch Batch, record *Record, e Entry, policy func(nutmegid.BudgetID) Policy) error {
+	b, err := s.find(e.Budget)
+	if err != nil || b == nil {
+		return err
+	}
+	inc := batch.Incarnation
+	for _, t := range e.Named {
+		b.name(t, inc)
+	}
+	l := b.lease(inc)
+	l.Acked = max(l.Acked, e.Acked)
+	if record.Released != 0 && !l.Released {
+		l.Released = true
+		b.writeOff(l.Tokens)
+	}
+	if l.Released {
+		b.settleReleased(l, e)
+		return b.Check(e.Budget)
+	}
+	b.Spent += e.Settle
+	l.Tokens -= e.Settle + e.GiveBack
+	if !batch.Leave {
+		grant := policy(e.Budget).Target(b.view(l, e)) - l.Tokens
+		grant = max(0, min(grant, b.Remaining()))
+		l.Tokens += grant
+		l.Granted += grant
+	}
+	if len(record.Witnesses) == 0 || e.Plain {
+		l.Acked = l.Granted - l.Taken
+	}
+	return b.Check(e.Budget)
+}
+
+func (b *Budget) view(l *Lease, e Entry) View {
+	return View{
+		Rate: e.Rate, Held: l.Tokens, Need: e.Need, Granted: l.Granted,
+		Remaining: b.Remaining(), Prepaid: b.Prepaid, Holders: len(b.Leases), Idle: e.Idle,
+	}
+}
+
+// settleReleased takes real spend and unspent tokens of a released holder out
+// of the write-off.
+func (b *Budget) settleReleased(l *Lease, e Entry) {
+	l.Tokens -= e.Settle + e.GiveBack
+	b.WrittenOff -= e.Settle
+	b.writeOff(-e.GiveBack)
+}
+
+// finish drops what a leaving or drained holder does not need any more.
+func (s *Shard) finish(batch Batch, record *Record) {
+	inc := batch.Incarnation
+	if batch.Drained && record.Released != 0 {
+		s.dropHoldings(inc)
+		record.Released = 0
+	}
+	if !batch.Leave || s.holds(inc) {
+		return
+	}
+	s.dropHoldings(inc)
+	delete(s.Holders, inc)
+	if s.Keeper == inc {
+		s.Keeper = ""
+	}
+}
+
+// holds reports whether any lease of the holder has tokens.
+func (s *Shard) holds(inc nutmegid.Incarnation) bool {
+	for _, b := range s.Budgets {
+		if l := b.leaseOf(inc); l != nil && l.Tokens != 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// dropHoldings forgets a holder's leases and the transfers that wait for its
+// naming. Of a released holder, what the leases hold stays written off.
+func (s *Shard) dropHoldings(inc nutmegid.Incarnation) {
+	for _, b := range s.Budgets {
+		if b == nil {
+			continue
+		}
+		delete(b.Leases, inc)
+		for id, t := range b.Transfers {
+			if (t.Giver == inc && !t.NamedByGiver) || (t.Receiver == inc && !t.NamedByReceiver) {
+				delete(b.Transfers, id)
+			}
+		}
+	}
+}
+
+// result describes the shard to the holder of a batch.
+func (s *Shard) result(batch Batch) Result {
+	record := s.Holders[batch.Incarnation]
+	if record == nil {
+		return Result{Gone: true, Keeper: s.Keeper, Shares: make([]Share, len(batch.Entries))}
+	}
+	r := Result{Released: record.Released != 0, Epoch: record.Epoch, Witnesses: record.Witnesses, Keeper: s.Keeper}
+	for _, e := range batch.Entries {
+		r.Shares = append(r.Shares, s.share(batch.Incarnation, e.Budget))
+	}
+	return r
+}
+
+func (s *Shard) share(inc nutmegid.Incarnation, id nutmegid.BudgetID) Share {
+	b := s.Budgets[id]
+	if b == nil || b.Removed {
+		return Share{}
+	}
+	share := Share{Known: true, Remaining: b.Remaining(), Holders: len(b.Leases), Rich: b.richest(inc)}
+	if l := b.Leases[inc]; l != nil {
+		share.Granted, share.Taken = l.Granted, l.Taken
+	}
+	for _, t := range b.Transfers {
+		if t.Giver == inc || t.Receiver == inc {
+			share.Transfers = append(share.Transfers, *t)
+		}
+	}
+	return share
+}
+
+// richest returns the other holders with the most tokens, the richest first.
+func (b *Budget) richest(but nutmegid.Incarnation) []nutmegid.Incarnation {
+	var rich []nutmegid.Incarnation
+	for inc, l := range b.Leases {
+		if inc != but && !l.Released && l.Tokens > 0 {
+			rich = append(rich, inc)
+		}
+	}
+	slices.SortFunc(rich, func(x, y nutmegid.Incarnation) int {
+		return cmp.Or(cmp.Compare(b.Leases[y].Tokens, b.Leases[x].Tokens), cmp.Compare(x, y))
+	})
+	return rich[:min(len(rich), maxAskedPeers)]
+}
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -2,49 +2,61 @@
 
 import (
 	"context"
-	"sync"
+	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
-// entry is one budget's part of a commit. The amounts stay the same over all
-// attempts of the commit; what was granted is read from the stored lease.
-type entry struct {
-	account   *account
-	settle    nutmegid.Tokens
-	giveBack  nutmegid.Tokens
-	need      nutmegid.Tokens
-	heldAfter nutmegid.Tokens // held in the lease before the grant
-	rate      float64
-}
-
 // committer writes one shard's spend, returns and grants, one commit at a time.
 type committer struct {
 	holder *Holder
 	shard  int
-	wake   chan chan error
 	quit   chan struct{}
 	done   chan struct{}
+	closed atomic.Bool // the leases were released: nothing new is reserved
+
+	turn     chan struct{} // held for one commit; guards all below
+	started  atomic.Uint64 // commits begun
+	answered uint64        // the latest begun commit that has ended
+	number   uint64        // of the latest written batch
+	joined   bool
+	left     bool
+	// mayReturn lets the commit under way give back what the policies do not keep.
+	mayReturn bool
+	gone      bool // the store has forgotten the holder
+	pending   *pendingBatch
+	keeper    nutmegid.Incarnation
+	// unreachable is the keeper that did not answer; it is not asked again.
+	unreachable nutmegid.Incarnation
+	lastErr     error
+	failures    int
+	retryAt     time.Time
+
+	witnessing witnessing
+	stranded   atomic.Pointer[[]Stranded]
+}
 
-	mu       sync.Mutex // held for one commit
-	number   uint64
-	pending  []entry // of the commit whose outcome is unknown
-	stopping bool
+// pendingBatch is a batch without a known outcome, with its accounts.
+type pendingBatch struct {
+	Batch
+	accounts  []*account
+	uncertain bool // it may have been written
 }
 
 func newCommitter(h *Holder, shard int) *committer {
 	return &committer{
 		holder: h,
 		shard:  shard,
-		wake:   make(chan chan error),
 		quit:   make(chan struct{}),
 		done:   make(chan struct{}),
+		turn:   make(chan struct{}, 1),
 	}
 }
 
-// loop commits every interval, and at once for requests that wait for tokens.
+// loop commits every interval.
 func (c *committer) loop() {
 	defer close(c.done)
 	ticker := time.NewTicker(c.holder.cfg.CommitInterval)
@@ -54,49 +66,55 @@
 		case <-c.quit:
 			return
 		case <-ticker.C:
-			_ = c.commit(context.Background(), false)
-		case answer := <-c.wake:
-			c.answer(answer)
+			c.tick(context.Background())
 		}
 	}
 }
 
-// answer commits once for all requests that wait.
-func (c *committer) answer(first chan error) {
-	waiting := []chan error{first}
-	for {
-		select {
-		case next := <-c.wake:
-			waiting = append(waiting, next)
-			continue
-		default:
-		}
-		break
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), c.holder.cfg.AcquireTimeout)
+// tick commits once and asks for acknowledgements ahead.
+func (c *committer) tick(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, c.holder.cfg.CommitTimeout)
 	defer cancel()
-	err := c.commit(ctx, false)
-	for _, w := range waiting {
-		w <- err
+	if c.lock(ctx) != nil {
+		return
 	}
+	for _, a := range c.holder.accountsOf(c.shard) {
+		a.mu.Lock()
+		a.tick(c.holder.cfg.CommitInterval)
+		a.mu.Unlock()
+	}
+	c.mayReturn = c.failures == 0
+	_ = c.commit(ctx, false)
+	c.mayReturn = false
+	c.unlock()
+	c.acknowledgeAhead(ctx)
 }
 
-// commitNow asks the loop for a commit and waits for it.
-func (c *committer) commitNow(ctx context.Context) error {
-	answer := make(chan error, 1)
+func (c *committer) lock(ctx context.Context) error {
 	select {
-	case c.wake <- answer:
-	case <-c.done:
-		return context.Canceled
+	case c.turn <- struct{}{}:
+		return nil
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	select {
-	case err := <-answer:
+}
+
+func (c *committer) unlock() {
+	<-c.turn
+}
+
+// commitNow commits for a request that waits. Requests that wait for the same
+// turn share the commit that begins after they came.
+func (c *committer) commitNow(ctx context.Context) error {
+	mine := c.started.Load() + 1
+	if err := c.lock(ctx); err != nil {
 		return err
-	case <-ctx.Done():
-		return ctx.Err()
 	}
+	defer c.unlock()
+	if c.answered >= mine {
+		return c.lastErr
+	}
+	return c.commit(ctx, false)
 }
 
 func (c *committer) abandon() {
@@ -104,6 +122,7 @@
 	<-c.done
 }
 
+// stop settles all spend and returns all tokens.
 func (c *committer) stop(ctx context.Context) error {
 	close(c.quit)
 	select {
@@ -111,160 +130,192 @@
 	case <-ctx.Done():
 		return ctx.Err()
 	}
-	c.stopping = true
-	if err := c.commit(ctx, true); err != nil {
+	c.acknowledgeAll(ctx)
+	if err := c.lock(ctx); err != nil {
 		return err
 	}
-	return c.commit(ctx, true)
+	defer c.unlock()
+	var err error
+	for attempt := 0; attempt < stopAttempts && ctx.Err() == nil; attempt++ {
+		c.retryAt = time.Time{}
+		if err = c.commit(ctx, true); err == nil && c.left {
+			return nil
+		}
+	}
+	return err
 }
 
-// commit writes one batch. A batch of unknown outcome is settled first.
-func (c *committer) commit(ctx context.Context, all bool) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	entries := c.pending
-	if entries == nil {
-		entries = c.collect(all)
-	}
-	if len(entries) == 0 {
-		return nil
-	}
-	number := c.number + 1
-	key := nutmegstore.Key{Kind: ShardKind, Name: ShardName(c.shard)}
-	doc, err := nutmegstore.Update(ctx, c.holder.cfg.Writer, key, func(s *Shard) error {
-		return c.apply(s, number, entries)
-	})
-	if err != nil {
-		c.keep(entries, err)
-		return err
-	}
-	c.number = number
-	c.pending = nil
-	for _, e := range entries {
-		c.finish(&doc.Body, e)
-	}
-	return nil
+// commit settles a batch of unknown outcome first, then writes a new one.
+func (c *committer) commit(ctx context.Context, leave bool) error {
+	begun := c.started.Add(1)
+	err := c.commitAll(ctx, leave)
+	c.answered = begun
+	c.lastErr = err
+	return err
 }
 
-// keep holds on to a batch that may have been written, and undoes one that was not.
-func (c *committer) keep(entries []entry, err error) {
-	if c.pending != nil || nutmegstore.IsKind(err, nutmegstore.KindUnknown) {
-		c.pending = entries
-		return
+func (c *committer) commitAll(ctx context.Context, leave bool) error {
+	if time.Now().Before(c.retryAt) {
+		return c.lastErr
 	}
-	for _, e := range entries {
-		e.account.mu.Lock()
-		e.account.free += e.account.returning
-		e.account.returning = 0
-		e.account.mu.Unlock()
+	if c.pending != nil {
+		if err := c.write(ctx); err != nil {
+			return err
+		}
+	}
+	if c.left {
+		return nil
+	}
+	c.pending = c.collect(leave)
+	if c.pending == nil {
+		c.left = leave
+		return nil
 	}
+	return c.write(ctx)
 }
 
-// collect takes a snapshot of all accounts that have something to commit.
-func (c *committer) collect(all bool) []entry {
-	var entries []entry
+// collect makes a batch of all accounts that have something to commit, nil
+// when none has.
+func (c *committer) collect(leave bool) *pendingBatch {
+	cfg := c.holder.cfg
+	p := &pendingBatch{Batch: Batch{
+		Incarnation: cfg.Incarnation, Instance: cfg.Instance, Number: c.number + 1, Joined: c.joined, Leave: leave && c.joined,
+	}}
+	c.rewitness(&p.Batch)
+	p.Keeper = c.claimsKeeper()
+	returnAll := p.Leave || c.closed.Load()
+	write := p.Leave || p.Rewitness || p.Keeper
+	drained := c.closed.Load()
 	for _, a := range c.holder.accountsOf(c.shard) {
 		a.mu.Lock()
-		if !a.idle() {
-			entries = append(entries, c.snapshot(a, all))
+		e, changed := a.snapshot(returnAll, c.mayReturn)
+		if changed || p.Rewitness {
+			p.Entries = append(p.Entries, e)
+			p.accounts = append(p.accounts, a)
 		}
+		drained = drained && a.reserved == 0
 		a.mu.Unlock()
+		write = write || changed
 	}
-	return entries
-}
-
-func (c *committer) snapshot(a *account, all bool) entry {
-	a.rate += rateWeight * (float64(a.interval)/c.holder.cfg.CommitInterval.Seconds() - a.rate)
-	a.interval = 0
-	if all {
-		a.returning = a.free
-		a.free = 0
+	if drained && c.gone {
+		c.rejoin()
+		return nil
 	}
-	return entry{
-		account:   a,
-		settle:    a.spent,
-		giveBack:  a.returning,
-		need:      a.need,
-		heldAfter: a.held() - a.spent - a.returning,
-		rate:      a.rate,
+	p.Drained = drained
+	if !write && !drained {
+		return nil
 	}
+	return p
 }
 
-// apply changes the shard by the batch, once: a batch whose number the shard
-// already has was written by an earlier attempt.
-func (c *committer) apply(s *Shard, number uint64, entries []entry) error {
-	inc := c.holder.cfg.Incarnation
-	if s.Commits[inc] >= number {
-		return nutmegstore.ErrUnchanged
-	}
-	for _, e := range entries {
-		b, ok := s.Budgets[e.account.id]
-		if !ok {
-			continue
-		}
-		c.applyEntry(b, e)
-		if err := b.Check(e.account.id); err != nil {
-			return err
-		}
+// rejoin starts over after the store has forgotten the released leases.
+func (c *committer) rejoin() {
+	c.resetAccounts()
+	c.joined, c.gone = false, false
+	c.closed.Store(false)
+}
+
+func (c *committer) resetAccounts() {
+	for _, a := range c.holder.accountsOf(c.shard) {
+		a.reset()
 	}
-	if s.Commits == nil {
-		s.Commits = make(map[nutmegid.Incarnation]uint64)
+}
+
+// write sends the pending batch and takes its result in.
+func (c *committer) write(ctx context.Context) error {
+	p := c.pending
+	result, err := c.send(ctx, p)
+	if err != nil {
+		c.failed(p, err)
+		return err
 	}
-	s.Commits[inc] = number
+	c.failures = 0
+	c.retryAt = time.Time{}
+	c.pending = nil
+	c.number = p.Number
+	c.take(p, result)
 	return nil
 }
 
-func (c *committer) applyEntry(b *Budget, e entry) {
-	inc := c.holder.cfg.Incarnation
-	if b.Leases == nil {
-		b.Leases = make(map[nutmegid.Incarnation]*Lease)
+// send gives the batch to the shard's keeper, or writes it where there is no
+// keeper or none that answers. The batch's number makes both safe together; a
+// joining batch is written directly, as only a conditional write can be late
+// without harm after the holder has left.
+func (c *committer) send(ctx context.Context, p *pendingBatch) (Result, error) {
+	commit := c.route()
+	if commit == nil || p.Keeper || !p.Joined {
+		return c.direct(ctx, p)
 	}
-	lease, ok := b.Leases[inc]
-	if !ok {
-		lease = &Lease{Instance: c.holder.cfg.Instance}
-		b.Leases[inc] = lease
+	p.uncertain = true
+	result, err := commit(ctx, c.shard, p.Batch)
+	if err == nil {
+		return result, nil
 	}
-	if lease.Released {
-		return
+	c.unreachable = c.keeper
+	return c.direct(ctx, p)
+}
+
+// direct writes the batch to the store.
+func (c *committer) direct(ctx context.Context, p *pendingBatch) (Result, error) {
+	doc, err := nutmegstore.Update(ctx, c.holder.cfg.Writer, c.key(), func(s *Shard) error {
+		return s.Apply(p.Batch, c.holder.policyOf)
+	})
+	if err != nil {
+		p.uncertain = p.uncertain || nutmegstore.IsKind(err, nutmegstore.KindUnknown)
+		return Result{}, err
 	}
-	b.Spent += e.settle
-	lease.Tokens -= e.settle + e.giveBack
-	if c.stopping {
-		if lease.Tokens == 0 {
-			delete(b.Leases, inc)
+	c.noteStranded(&doc.Body)
+	return doc.Body.result(p.Batch), nil
+}
+
+func (c *committer) key() nutmegstore.Key {
+	return nutmegstore.Key{Kind: ShardKind, Name: ShardName(c.shard)}
+}
+
+// failed keeps a batch that may have been written, undoes one that was not,
+// and backs off.
+func (c *committer) failed(p *pendingBatch, err error) {
+	if !p.uncertain {
+		for _, a := range p.accounts {
+			a.undo()
 		}
-		return
+		c.pending = nil
+		c.witnessing.cancelChange()
+	}
+	if nutmegstore.IsKind(err, nutmegstore.KindUnknown) || nutmegstore.IsKind(err, nutmegstore.KindUnavailable) {
+		c.failures++
+		limit := min(c.holder.cfg.CommitInterval<<min(c.failures, 10), maxBackoff)
+		c.retryAt = time.Now().Add(limit/2 + time.Duration(rand.Int64N(int64(limit/2)+1)))
 	}
-	v := View{Rate: e.rate, Held: lease.Tokens, Need: e.need, Remaining: b.Remaining(), Holders: len(b.Leases)}
-	grant := min(c.holder.cfg.Policy.Target(v)-lease.Tokens, v.Remaining)
-	lease.Tokens += max(0, grant)
 }
 
-// finish takes the written state of one budget into its account.
-func (c *committer) finish(s *Shard, e entry) {
-	a := e.account
-	a.mu.Lock()
-	b, ok := s.Budgets[a.id]
-	a.known = ok
-	if !ok {
-		a.mu.Unlock()
+// take brings a result into the accounts.
+func (c *committer) take(p *pendingBatch, r Result) {
+	c.keeper = r.Keeper
+	if r.Gone && p.Leave {
+		c.left = true
+	}
+	if r.Gone {
+		c.gone = true
+		c.closed.Store(true)
+		c.witnessing.cancelChange()
+		for _, a := range p.accounts {
+			a.undo()
+		}
 		return
 	}
-	granted := nutmegid.Tokens(0)
-	lease := b.Leases[c.holder.cfg.Incarnation]
-	switch {
-	case lease == nil:
-	case lease.Released:
-		a.free = 0
-	default:
-		granted = lease.Tokens - e.heldAfter
+	c.joined = true
+	c.closed.Store(r.Released)
+	c.witnessing.confirm(r)
+	if p.Drained && !r.Released {
+		c.resetAccounts()
+		return
 	}
-	a.spent -= e.settle
-	a.returning -= e.giveBack
-	a.free += granted
-	a.assert()
-	a.mu.Unlock()
-	if c.holder.cfg.OnCommit != nil && (e.settle > 0 || granted > 0) {
-		c.holder.cfg.OnCommit(a.id, e.settle, granted)
+	for i, e := range p.Entries {
+		a := p.accounts[i]
+		granted := a.finish(e, r.Shares[i], r)
+		if c.holder.cfg.OnCommit != nil && (e.Settle > 0 || granted > 0 || e.GiveBack > 0) {
+			c.holder.cfg.OnCommit(Committed{Budget: a.id, Settled: e.Settle, Granted: granted, Returned: e.GiveBack})
+		}
 	}
 }
--- a/nutmegbudget/defaults.go
+++ b/nutmegbudget/defaults.go
@@ -5,13 +5,34 @@
 const (
 	// DefaultCommitInterval is how often spend is settled into the store.
 	DefaultCommitInterval = time.Second
+	// DefaultCommitTimeout bounds one commit.
+	DefaultCommitTimeout = 5 * time.Second
 	// DefaultHorizon is the span of spend that a lease covers while plenty is left.
 	DefaultHorizon = 10 * time.Minute
 	// DefaultMinLease is the smallest lease that the rate-proportional policy asks for, in tokens.
 	DefaultMinLease = 2_000
 	// DefaultAcquireTimeout bounds how long a request waits for tokens from the store.
 	DefaultAcquireTimeout = 3 * time.Second
+	// DefaultAskTimeout bounds how long a request waits for one peer's tokens.
+	DefaultAskTimeout = 250 * time.Millisecond
 
-	maxTokens  = 1 << 53 // tokens; amounts stay exact in JSON numbers
-	rateWeight = 0.2     // weight of the newest interval in the spend rate
+	// DefaultSilence is how long a witness waits for a holder that is not up.
+	DefaultSilence = 10 * time.Second
+	// DefaultGatherTime is how long a keeper gathers batches for one commit.
+	DefaultGatherTime = 200 * time.Millisecond
+
+	maxTokens          = 1 << 53 // tokens; amounts stay exact in JSON numbers
+	rateWeight         = 0.05    // weight of the newest interval in the spend rate
+	idleRate           = 0.01    // tokens a second; below it an instance may be idle
+	idleTicks          = 10      // commit intervals without use that make an instance idle
+	keepFactor         = 2       // times the target that is kept before tokens return
+	maxReleasedHolders = 64      // of a shard; older ones become final write-offs
+	maxAskedPeers      = 8       // peers that one request asks for tokens
+	maxRecentTopUps    = 32      // ids kept in the shard; older ones are archived
+	maxUnsettledIDs    = 4096    // transfers of one account; more are refused
+	minSlice           = 1_000   // tokens; the least that witnesses acknowledge ahead
+	maxBackoff         = 10 * time.Second
+	dryTime            = 200 * time.Millisecond // after a fruitless search for tokens
+	stopAttempts       = 8
+	acquireRounds      = 3 // searches for tokens of one request
 )
--- a/nutmegbudget/errors.go
+++ b/nutmegbudget/errors.go
@@ -22,6 +22,12 @@
 	KindBadAmount ErrorKind = "bad_amount"
 	// KindTopUpReused says that a top-up id came with another amount before.
 	KindTopUpReused ErrorKind = "top_up_reused"
+	// KindBelowUse says that a budget would fall below what is spent or leased.
+	KindBelowUse ErrorKind = "budget_below_use"
+	// KindUnknownHolder says that no such incarnation holds tokens.
+	KindUnknownHolder ErrorKind = "unknown_holder"
+	// KindReleased says that an operator has released this instance's leases.
+	KindReleased ErrorKind = "lease_released"
 	// KindInvariant says that a change would break prepaid >= spent + leases.
 	KindInvariant ErrorKind = "budget_invariant"
 )
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -25,6 +25,8 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"sync"
 	"time"
 
@@ -41,11 +43,27 @@
 	Incarnation    nutmegid.Incarnation
 	Instance       nutmegid.Instance
 	Shards         int
-	Policy         Policy
-	CommitInterval time.Duration // DefaultCommitInterval when zero
-	AcquireTimeout time.Duration // DefaultAcquireTimeout when zero
-	// OnCommit is told of each settled commit of a budget.
-	OnCommit func(id nutmegid.BudgetID, settled, granted nutmegid.Tokens)
+	Policy         Policy                           // of budgets without terms; RateProportional when nil
+	Terms          func(id nutmegid.BudgetID) Terms // the owner's terms for a budget; Policy alone when nil
+	Peers          Peers                            // none when nil: nothing is shared or witnessed
+	Witnesses      int                              // witnesses that a shard's leases should have
+	Keeper         *Keeper                          // commits for others; none when nil
+	CommitInterval time.Duration                    // DefaultCommitInterval when zero
+	CommitTimeout  time.Duration                    // DefaultCommitTimeout when zero
+	AcquireTimeout time.Duration                    // DefaultAcquireTimeout when zero
+	AskTimeout     time.Duration                    // DefaultAskTimeout when zero
+	// OnCommit is told of each budget's part in a written commit.
+	OnCommit func(c Committed)
+	// OnTransfer is told of tokens received from a peer.
+	OnTransfer func(id nutmegid.BudgetID, t Transfer)
+}
+
+// Committed is one budget's part in a written commit.
+type Committed struct {
+	Budget   nutmegid.BudgetID
+	Settled  nutmegid.Tokens
+	Granted  nutmegid.Tokens
+	Returned nutmegid.Tokens
 }
 
 // Holder holds one incarnation's leases.
@@ -55,27 +73,43 @@
 
 	mu       sync.RWMutex
 	accounts map[nutmegid.BudgetID]*account
+	byShard  [][]*account
 }
 
 // NewHolder returns a holder without leases.
 func NewHolder(cfg HolderConfig) *Holder {
+	cfg = withDefaults(cfg)
+	h := &Holder{cfg: cfg, accounts: make(map[nutmegid.BudgetID]*account), byShard: make([][]*account, cfg.Shards)}
+	for shard := range cfg.Shards {
+		h.committers = append(h.committers, newCommitter(h, shard))
+	}
+	return h
+}
+
+func withDefaults(cfg HolderConfig) HolderConfig {
 	if cfg.Shards == 0 {
 		cfg.Shards = 1
 	}
 	if cfg.CommitInterval == 0 {
 		cfg.CommitInterval = DefaultCommitInterval
 	}
+	if cfg.CommitTimeout == 0 {
+		cfg.CommitTimeout = DefaultCommitTimeout
+	}
 	if cfg.AcquireTimeout == 0 {
 		cfg.AcquireTimeout = DefaultAcquireTimeout
 	}
+	if cfg.AskTimeout == 0 {
+		cfg.AskTimeout = DefaultAskTimeout
+	}
 	if cfg.Policy == nil {
 		cfg.Policy = RateProportional{Horizon: DefaultHorizon, MinLease: DefaultMinLease}
 	}
-	h := &Holder{cfg: cfg, accounts: make(map[nutmegid.BudgetID]*account)}
-	for shard := range cfg.Shards {
-		h.committers = append(h.committers, newCommitter(h, shard))
+	if cfg.Terms == nil {
+		policy := cfg.Policy
+		cfg.Terms = func(nutmegid.BudgetID) Terms { return Terms{Policy: policy} }
 	}
-	return h
+	return cfg
 }
 
 // Start begins the commits.
@@ -90,9 +124,7 @@
 func (h *Holder) Stop(ctx context.Context) error {
 	var failed error
 	for _, c := range h.committers {
-		if err := c.stop(ctx); err != nil {
-			failed = err
-		}
+		failed = errors.Join(failed, c.stop(ctx))
 	}
 	return failed
 }
@@ -104,6 +136,14 @@
 	}
 }
 
+// Tick commits all shards once, for programs that drive the time themselves
+// in place of Start.
+func (h *Holder) Tick(ctx context.Context) {
+	for _, c := range h.committers {
+		c.tick(ctx)
+	}
+}
+
 // Reservation is an upper bound of tokens taken from both levels.
 type Reservation struct {
 	workspace *account
@@ -126,6 +166,9 @@
 
 // Reserve takes n tokens from the local leases on both levels, or none.
 func (h *Holder) Reserve(workspace, owner nutmegid.BudgetID, n nutmegid.Tokens) (Reservation, bool) {
+	if n < 0 {
+		return Reservation{}, false
+	}
 	w := h.account(workspace)
 	o := h.account(owner)
 	if !w.take(n) {
@@ -138,40 +181,71 @@
 	return Reservation{workspace: w, owner: o, tokens: n}, true
 }
 
-// Acquire reserves n tokens on both levels, and asks the store for more where
-// the local leases lack them.
+// Acquire reserves n tokens on both levels. Where the local leases lack them
+// it asks witnesses, peers and the store for more. The errors are of kind
+// KindBadAmount, KindExhausted, KindUnreachable, KindUnknownBudget or
+// KindReleased; all mean that nothing is reserved.
 func (h *Holder) Acquire(ctx context.Context, workspace, owner nutmegid.BudgetID, n nutmegid.Tokens) (Reservation, error) {
 	if r, ok := h.Reserve(workspace, owner, n); ok {
 		return r, nil
 	}
+	if n < 0 || n > maxTokens {
+		return Reservation{}, &Error{
+			Kind: KindBadAmount, Budget: workspace, Detail: fmt.Sprintf("reservation of %d tokens", n),
+			Remedy: fmt.Sprintf("reserve 0 to %d tokens", int64(maxTokens)),
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AcquireTimeout)
 	defer cancel()
-	for _, id := range []nutmegid.BudgetID{workspace, owner} {
-		if err := h.refill(ctx, id, n); err != nil {
-			return Reservation{}, err
+	w, o := h.account(workspace), h.account(owner)
+	for range acquireRounds {
+		unreachable := errors.Join(h.refill(ctx, w, n), h.refill(ctx, o, n))
+		if r, ok := h.Reserve(workspace, owner, n); ok {
+			return r, nil
+		}
+		if unreachable != nil {
+			return Reservation{}, unreachable
+		}
+		// Another request may have been faster to take what was granted.
+		if ctx.Err() != nil || !w.hopeful(n) || !o.hopeful(n) {
+			break
 		}
-	}
-	if r, ok := h.Reserve(workspace, owner, n); ok {
-		return r, nil
 	}
 	return Reservation{}, h.shortage(workspace, owner, n)
 }
 
-// refill asks the store for tokens until the account could cover n, or one
-// whole commit has gone by without enough.
-func (h *Holder) refill(ctx context.Context, id nutmegid.BudgetID, n nutmegid.Tokens) error {
-	a := h.account(id)
-	a.mu.Lock()
-	lacking := n - a.free
-	a.mu.Unlock()
+// refill searches for tokens until the account could cover n.
+func (h *Holder) refill(ctx context.Context, a *account, n nutmegid.Tokens) error {
+	if a.lacking(n) <= 0 || a.committer.closed.Load() || a.dry(n) {
+		return nil
+	}
+	a.committer.acknowledgeFor(ctx, a, n)
+	if !a.storeCovers(n) {
+		h.askPeers(ctx, a, n)
+	}
+	lacking := a.lacking(n)
 	if lacking <= 0 {
 		return nil
 	}
+	err := h.askStore(ctx, a, lacking)
+	a.committer.acknowledgeFor(ctx, a, n)
+	h.askPeers(ctx, a, n)
+	if a.lacking(n) <= 0 {
+		return nil
+	}
+	if err == nil && !a.storeCovers(n) {
+		a.noteDry(n)
+	}
+	return err
+}
+
+// askStore commits with the account's need.
+func (h *Holder) askStore(ctx context.Context, a *account, lacking nutmegid.Tokens) error {
 	a.addNeed(lacking)
 	defer a.addNeed(-lacking)
-	if err := h.committerOf(id).commitNow(ctx); err != nil {
+	if err := a.committer.commitNow(ctx); err != nil {
 		return &Error{
-			Kind: KindUnreachable, Budget: id, Detail: "the store did not grant tokens: " + err.Error(),
+			Kind: KindUnreachable, Budget: a.id, Detail: "the store did not grant tokens: " + err.Error(),
 			Remedy: "try again once the platform answers",
 		}
 	}
@@ -181,11 +255,14 @@
 func (h *Holder) shortage(workspace, owner nutmegid.BudgetID, n nutmegid.Tokens) error {
 	for _, id := range []nutmegid.BudgetID{workspace, owner} {
 		a := h.account(id)
+		if a.committer.closed.Load() {
+			return &Error{Kind: KindReleased, Budget: id, Detail: "an operator has released this instance", Remedy: "send the request to another instance"}
+		}
 		a.mu.Lock()
 		known, free := a.known, a.free
 		a.mu.Unlock()
-		if !known {
-			return &Error{Kind: KindUnknownBudget, Budget: id, Detail: "the budget does not exist", Remedy: "add it with an add_budget intent"}
+		if !known && free < n {
+			return unknownBudget(id)
 		}
 		if free < n {
 			return &Error{Kind: KindExhausted, Budget: id, Detail: "too few tokens are left", Remedy: "top the budget up or lower max_tokens"}
@@ -194,43 +271,45 @@
 	return &Error{Kind: KindExhausted, Budget: workspace, Detail: "other requests took the tokens", Remedy: "try again"}
 }
 
-func (h *Holder) account(id nutmegid.BudgetID) *account {
+// known returns the account of a budget that this holder has used.
+func (h *Holder) known(id nutmegid.BudgetID) *account {
 	h.mu.RLock()
-	a, ok := h.accounts[id]
-	h.mu.RUnlock()
-	if ok {
+	defer h.mu.RUnlock()
+	return h.accounts[id]
+}
+
+func (h *Holder) account(id nutmegid.BudgetID) *account {
+	if a := h.known(id); a != nil {
 		return a
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if a, ok = h.accounts[id]; ok {
+	if a, ok := h.accounts[id]; ok {
 		return a
 	}
-	a = &account{id: id}
+	shard := ShardOf(id, h.cfg.Shards)
+	a := &account{id: id, committer: h.committers[shard], terms: h.cfg.Terms(id)}
 	h.accounts[id] = a
+	h.byShard[shard] = append(h.byShard[shard], a)
 	return a
 }
 
-func (h *Holder) committerOf(id nutmegid.BudgetID) *committer {
-	return h.committers[ShardOf(id, h.cfg.Shards)]
+func (h *Holder) policyOf(id nutmegid.BudgetID) Policy {
+	return h.cfg.Terms(id).Policy
 }
 
+// accountsOf returns the accounts of a shard. Accounts are only ever added.
 func (h *Holder) accountsOf(shard int) []*account {
 	h.mu.RLock()
 	defer h.mu.RUnlock()
-	var accounts []*account
-	for id, a := range h.accounts {
-		if ShardOf(id, h.cfg.Shards) == shard {
-			accounts = append(accounts, a)
-		}
-	}
-	return accounts
+	return h.byShard[shard]
 }
 
 // Balance is one budget's local state.
 type Balance struct {
 	Budget   nutmegid.BudgetID `json:"budget"`
 	Free     nutmegid.Tokens   `json:"free"`
+	Locked   nutmegid.Tokens   `json:"locked,omitempty"` // not acknowledged by a witness yet
 	Reserved nutmegid.Tokens   `json:"reserved"`
 	Spent    nutmegid.Tokens   `json:"spent_unsettled"`
 }
@@ -242,7 +321,7 @@
 	balances := make([]Balance, 0, len(h.accounts))
 	for _, a := range h.accounts {
 		a.mu.Lock()
-		balances = append(balances, Balance{Budget: a.id, Free: a.free, Reserved: a.reserved, Spent: a.spent})
+		balances = append(balances, Balance{Budget: a.id, Free: a.free, Locked: a.locked(), Reserved: a.reserved, Spent: a.spent})
 		a.mu.Unlock()
 	}
 	return balances
--- /dev/null
+++ b/nutmegbudget/operate.go
@@ -0,0 +1,255 @@
+package nutmegbudget
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// TopUp adds tokens to a budget, and makes the budget when it does not exist.
+// A repeat of the same id and amount has no effect.
+func (s *Shard) TopUp(id nutmegid.BudgetID, topUp nutmegid.TopUpID, amount nutmegid.Tokens) error {
+	if amount <= 0 || amount > maxTokens {
+		return &Error{
+			Kind: KindBadAmount, Budget: id, Detail: fmt.Sprintf("top-up of %d tokens", amount),
+			Remedy: fmt.Sprintf("give an amount from 1 to %d", int64(maxTokens)),
+		}
+	}
+	b, err := s.make(id)
+	if err != nil {
+		return err
+	}
+	if applied, ok := b.TopUps[topUp]; ok {
+		return repeatedTopUp(id, topUp, applied, amount)
+	}
+	if b.Prepaid+amount > maxTokens {
+		return &Error{
+			Kind: KindBadAmount, Budget: id, Detail: fmt.Sprintf("top-up of %d tokens overflows", amount),
+			Remedy: fmt.Sprintf("keep the budget under %d", int64(maxTokens)),
+		}
+	}
+	b.TopUps[topUp] = amount
+	b.Prepaid += amount
+	b.Removed = false
+	return b.Check(id)
+}
+
+// repeatedTopUp accepts a repeat of the same amount and refuses another one.
+func repeatedTopUp(id nutmegid.BudgetID, topUp nutmegid.TopUpID, applied, amount nutmegid.Tokens) error {
+	if applied == amount {
+		return nil
+	}
+	return &Error{
+		Kind: KindTopUpReused, Budget: id, Detail: fmt.Sprintf("top-up %q was applied with %d tokens", topUp, applied),
+		Remedy: "use a new top-up id for another amount",
+	}
+}
+
+// make returns a budget that may be removed or, where absent, new.
+func (s *Shard) make(id nutmegid.BudgetID) (*Budget, error) {
+	if s.Budgets == nil {
+		s.Budgets = make(map[nutmegid.BudgetID]*Budget)
+	}
+	b, ok := s.Budgets[id]
+	if !ok {
+		b = &Budget{}
+		s.Budgets[id] = b
+	}
+	if b == nil {
+		return nil, invariantError(id, "the stored budget is empty")
+	}
+	b.makeMaps()
+	return b, b.Check(id)
+}
+
+func (s *Shard) mustFind(id nutmegid.BudgetID) (*Budget, error) {
+	b, err := s.find(id)
+	if err == nil && b == nil {
+		err = unknownBudget(id)
+	}
+	return b, err
+}
+
+func unknownBudget(id nutmegid.BudgetID) error {
+	return &Error{Kind: KindUnknownBudget, Budget: id, Detail: "the budget does not exist", Remedy: "add it with an add_budget intent"}
+}
+
+// SetLower lowers the prepaid amount of a budget to the given tokens. What is
+// spent or leased cannot be taken away.
+func (s *Shard) SetLower(id nutmegid.BudgetID, tokens nutmegid.Tokens) error {
+	b, err := s.mustFind(id)
+	if err != nil {
+		return err
+	}
+	if tokens < 0 || tokens > b.Prepaid {
+		return &Error{
+			Kind: KindBadAmount, Budget: id, Detail: fmt.Sprintf("%d tokens is not between 0 and the prepaid %d", tokens, b.Prepaid),
+			Remedy: "use a top_up intent to raise a budget",
+		}
+	}
+	used := b.Spent + b.Leased()
+	if tokens < used {
+		return &Error{
+			Kind: KindBelowUse, Budget: id,
+			Detail: fmt.Sprintf("%d tokens is below spent %d and leased %d", tokens, b.Spent, b.Leased()),
+			Remedy: fmt.Sprintf("lower it to %d at least, or wait until leases return", used),
+		}
+	}
+	b.Prepaid = tokens
+	return b.Check(id)
+}
+
+// Remove takes a budget out of force and gives up what remains of it. Its
+// top-up ids stay, so that a repeated top-up does not bring it back.
+func (s *Shard) Remove(id nutmegid.BudgetID) error {
+	b, err := s.mustFind(id)
+	if err != nil {
+		return err
+	}
+	if leased := b.Leased(); leased > 0 || len(b.Transfers) > 0 {
+		return &Error{
+			Kind: KindBelowUse, Budget: id, Detail: fmt.Sprintf("%d tokens are leased and %d transfers are open", leased, len(b.Transfers)),
+			Remedy: "stop its callers and wait until leases return, or release dead instances",
+		}
+	}
+	b.Prepaid = b.Spent
+	b.Removed = true
+	return b.Check(id)
+}
+
+// Released is what the release of a holder means for one budget.
+type Released struct {
+	Budget nutmegid.BudgetID `json:"budget"`
+	// WrittenOff tokens count as spent: the holder may have used them.
+	WrittenOff nutmegid.Tokens `json:"written_off"`
+}
+
+// Release ends an incarnation that an operator states to be gone. Its
+// unsettled tokens count as spent, as it may have used them in its last
+// moments; only what witnesses prove unspent returns, by CloseLease. A holder
+// that wakes up settles and gives back against the write-off. A repeat has no
+// further effect and returns the same amounts.
+func (s *Shard) Release(inc nutmegid.Incarnation) ([]Released, error) {
+	record, err := s.releasable(inc)
+	if err != nil {
+		return nil, err
+	}
+	if record.Released == 0 {
+		s.Releases++
+		record.Released = s.Releases
+	}
+	var released []Released
+	for id, b := range s.Budgets {
+		l := b.leaseOf(inc)
+		if l == nil {
+			continue
+		}
+		if !l.Released {
+			l.Released = true
+			b.writeOff(l.Tokens)
+		}
+		released = append(released, Released{Budget: id, WrittenOff: l.Tokens})
+		if err := b.Check(id); err != nil {
+			return nil, err
+		}
+	}
+	if s.Keeper == inc {
+		s.Keeper = ""
+	}
+	s.prune()
+	return released, nil
+}
+
+// releasable returns the record of a holder; one that has only received
+// transfers gets its record here.
+func (s *Shard) releasable(inc nutmegid.Incarnation) (*Record, error) {
+	if record := s.Holders[inc]; record != nil {
+		return record, nil
+	}
+	for _, b := range s.Budgets {
+		if b.leaseOf(inc) != nil {
+			return s.join(Batch{Incarnation: inc}), nil
+		}
+	}
+	return nil, &Error{
+		Kind: KindUnknownHolder, Detail: fmt.Sprintf("incarnation %q has no lease", inc),
+		Remedy: "name an incarnation that status shows with stranded tokens",
+	}
+}
+
+// prune forgets the oldest released holders over the limit. Their write-offs
+// become final.
+func (s *Shard) prune() {
+	released := 0
+	for _, r := range s.Holders {
+		if r.Released != 0 {
+			released++
+		}
+	}
+	for ; released > maxReleasedHolders; released-- {
+		s.forget(s.oldestReleased())
+	}
+}
+
+func (s *Shard) oldestReleased() nutmegid.Incarnation {
+	var oldest nutmegid.Incarnation
+	for inc, r := range s.Holders {
+		if r.Released != 0 && (oldest == "" || r.Released < s.Holders[oldest].Released) {
+			oldest = inc
+		}
+	}
+	return oldest
+}
+
+func (s *Shard) forget(inc nutmegid.Incarnation) {
+	s.dropHoldings(inc)
+	delete(s.Holders, inc)
+}
+
+// CloseLease takes back what no witness of a holder has acknowledged, once all
+// of its witnesses have closed it. It reports false where the witness is not
+// named for that epoch any more.
+func (s *Shard) CloseLease(holder, witness nutmegid.Incarnation, epoch uint64, acked map[nutmegid.BudgetID]nutmegid.Tokens) (bool, error) {
+	record := s.Holders[holder]
+	if record == nil || record.Epoch != epoch || !slices.Contains(record.Witnesses, witness) {
+		return false, nil
+	}
+	complete := true
+	for id, b := range s.Budgets {
+		l := b.leaseOf(holder)
+		if l == nil {
+			continue
+		}
+		if l.Closed == nil {
+			l.Closed = make(map[nutmegid.Incarnation]nutmegid.Tokens)
+		}
+		l.Closed[witness] = acked[id]
+		if len(l.Closed) < len(record.Witnesses) {
+			complete = false
+			continue
+		}
+		b.takeUnacked(holder, l)
+		if err := b.Check(id); err != nil {
+			return false, err
+		}
+	}
+	if complete {
+		record.Witnesses = nil
+		record.Epoch++
+	}
+	return true, nil
+}
+
+// takeUnacked returns the part of a closed lease that was never free for use.
+func (b *Budget) takeUnacked(holder nutmegid.Incarnation, l *Lease) {
+	usable := l.Acked
+	for _, acked := range l.Closed {
+		usable = max(usable, acked)
+	}
+	unacked := max(0, l.Granted-l.Taken-usable)
+	b.shift(holder, -unacked)
+	l.Taken += unacked
+	l.Acked = l.Granted - l.Taken
+	l.Closed = nil
+}
--- a/nutmegbudget/policy.go
+++ b/nutmegbudget/policy.go
@@ -11,28 +11,55 @@
 	Rate      float64         // tokens a second that this instance spends
 	Held      nutmegid.Tokens // unsettled tokens of this instance's lease
 	Need      nutmegid.Tokens // tokens that waiting requests lack
+	Granted   nutmegid.Tokens // tokens granted to this lease since it began
 	Remaining nutmegid.Tokens // tokens that are neither spent nor leased
+	Prepaid   nutmegid.Tokens // the whole budget
 	Holders   int             // leases on the budget, this one included
+	Idle      bool            // no request has come for a while
 }
 
 // Policy sizes leases.
 type Policy interface {
 	// Target returns the unsettled tokens that the instance should hold.
 	Target(v View) nutmegid.Tokens
+	// Keep returns the unsettled tokens above which the instance gives back.
+	Keep(v View) nutmegid.Tokens
+}
+
+// Terms are an owner's weighing of overspend and false refusals.
+type Terms struct {
+	Policy Policy
+	// Share lets instances give each other tokens of the budget.
+	Share bool
+	// Slice is the span of spend that witnesses acknowledge ahead; 0 leaves
+	// the leases unwitnessed.
+	Slice time.Duration
 }
 
 // RateProportional holds the spend of a horizon, and near the end of a budget
 // at most a fair part of what is left.
 type RateProportional struct {
 	Horizon  time.Duration
-	MinLease nutmegid.Tokens
+	MinLease nutmegid.Tokens // tokens
 }
 
 // Target implements Policy.
 func (p RateProportional) Target(v View) nutmegid.Tokens {
-	want := max(p.MinLease, nutmegid.Tokens(v.Rate*p.Horizon.Seconds()))
 	fair := v.Held + v.Remaining/nutmegid.Tokens(v.Holders+1)
-	return max(min(want, fair), v.Held+v.Need)
+	return max(min(p.want(v), fair), v.Held+v.Need)
+}
+
+func (p RateProportional) want(v View) nutmegid.Tokens {
+	if v.Idle {
+		return 0
+	}
+	return max(p.MinLease, nutmegid.Tokens(v.Rate*p.Horizon.Seconds()))
+}
+
+// Keep implements Policy. Twice the target is kept, so that small changes of
+// the rate cause no writes; an idle instance keeps nothing.
+func (p RateProportional) Keep(v View) nutmegid.Tokens {
+	return keepFactor * p.want(v)
 }
 
 // FixedLease holds the same number of tokens whatever the spend.
@@ -42,5 +69,32 @@
 
 // Target implements Policy.
 func (p FixedLease) Target(v View) nutmegid.Tokens {
+	if v.Idle {
+		return v.Held
+	}
 	return max(p.Tokens, v.Held+v.Need)
 }
+
+// Keep implements Policy.
+func (p FixedLease) Keep(v View) nutmegid.Tokens {
+	if v.Idle {
+		return 0
+	}
+	return keepFactor * p.Tokens
+}
+
+// StaticSplit gives each instance the same part of a budget, once.
+type StaticSplit struct {
+	Instances int
+}
+
+// Target implements Policy.
+func (p StaticSplit) Target(v View) nutmegid.Tokens {
+	part := v.Prepaid / nutmegid.Tokens(max(1, p.Instances))
+	return v.Held + max(0, part-v.Granted)
+}
+
+// Keep implements Policy. A static part never returns.
+func (p StaticSplit) Keep(v View) nutmegid.Tokens {
+	return v.Prepaid
+}
--- a/nutmegbudget/shard.go
+++ b/nutmegbudget/shard.go
@@ -11,23 +11,67 @@
 // committed together.
 type Shard struct {
 	Budgets map[nutmegid.BudgetID]*Budget `json:"budgets"`
-	// Commits holds the number of the latest commit of each holder.
-	Commits map[nutmegid.Incarnation]uint64 `json:"commits"`
+	// Holders are the incarnations that have leases or may still commit.
+	Holders map[nutmegid.Incarnation]*Record `json:"holders"`
+	// Releases counts releases; it orders released holders for pruning.
+	Releases uint64 `json:"releases,omitempty"`
+	// Keeper commits for others; it is a hint, never an authority.
+	Keeper nutmegid.Incarnation `json:"keeper,omitempty"`
+}
+
+// Record is what a shard knows of one holder.
+type Record struct {
+	Instance nutmegid.Instance `json:"instance"`
+	// Commit is the number of the holder's latest commit.
+	Commit uint64 `json:"commit"`
+	// Released is the order number of the release, 0 while the holder is in force.
+	Released uint64 `json:"released,omitempty"`
+	// Witnesses acknowledge the holder's slices. Epoch rises with each change of them.
+	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
+	Epoch     uint64                 `json:"epoch,omitempty"`
 }
 
 // Budget is one prepaid amount and where its tokens are.
 type Budget struct {
-	Prepaid nutmegid.Tokens                      `json:"prepaid"`
-	Spent   nutmegid.Tokens                      `json:"spent"`
-	TopUps  map[nutmegid.TopUpID]nutmegid.Tokens `json:"top_ups"`
-	Leases  map[nutmegid.Incarnation]*Lease      `json:"leases"`
+	Prepaid nutmegid.Tokens `json:"prepaid"`
+	// Spent counts settled spend and what was written off.
+	Spent nutmegid.Tokens `json:"spent"`
+	// WrittenOff is the part of Spent that no holder has settled: leases of
+	// released holders, whose true use is not known.
+	WrittenOff nutmegid.Tokens                      `json:"written_off,omitempty"`
+	Removed    bool                                 `json:"removed,omitempty"`
+	TopUps     map[nutmegid.TopUpID]nutmegid.Tokens `json:"top_ups"`
+	// Archives counts the objects that hold older top-up ids.
+	Archives  uint64                            `json:"archives,omitempty"`
+	Leases    map[nutmegid.Incarnation]*Lease   `json:"leases"`
+	Transfers map[nutmegid.TransferID]*Transfer `json:"transfers,omitempty"`
 }
 
 // Lease is the unsettled share of a budget that one incarnation may spend.
 type Lease struct {
-	Instance nutmegid.Instance `json:"instance"`
-	Tokens   nutmegid.Tokens   `json:"tokens"`
-	Released bool              `json:"released,omitempty"`
+	// Tokens is the unsettled share. Of a released holder it is the part of
+	// the write-off that the holder may still settle or give back.
+	Tokens   nutmegid.Tokens `json:"tokens"`
+	Released bool            `json:"released,omitempty"`
+	// Granted, Taken and Acked count tokens since the lease began: granted by
+	// commits, taken back by witnesses, and free for use.
+	Granted nutmegid.Tokens `json:"granted"`
+	Taken   nutmegid.Tokens `json:"taken,omitempty"`
+	Acked   nutmegid.Tokens `json:"acked"`
+	// Closed holds what each witness that closed the lease had acknowledged.
+	Closed map[nutmegid.Incarnation]nutmegid.Tokens `json:"closed,omitempty"`
+}
+
+// Transfer is a move of tokens between two holders. It takes effect when the
+// first of them names it, and is forgotten when both have.
+type Transfer struct {
+	ID       nutmegid.TransferID  `json:"id"`
+	Giver    nutmegid.Incarnation `json:"giver"`
+	Receiver nutmegid.Incarnation `json:"receiver"`
+	Tokens   nutmegid.Tokens      `json:"tokens"`
+	// NamedByGiver and NamedByReceiver tell which sides have named it.
+	NamedByGiver    bool `json:"named_by_giver,omitempty"`
+	NamedByReceiver bool `json:"named_by_receiver,omitempty"`
 }
 
 // ShardOf returns the number of the shard that holds a budget.
@@ -47,11 +91,13 @@
 	return b.Prepaid - b.Spent - b.Leased()
 }
 
-// Leased returns the unsettled tokens of all leases.
+// Leased returns the unsettled tokens of all leases in force.
 func (b *Budget) Leased() nutmegid.Tokens {
 	var sum nutmegid.Tokens
 	for _, lease := range b.Leases {
-		sum += lease.Tokens
+		if !lease.Released {
+			sum += lease.Tokens
+		}
 	}
 	return sum
 }
@@ -62,9 +108,12 @@
 	if b.Prepaid < 0 || b.Spent < 0 || b.Prepaid > maxTokens {
 		return invariantError(id, fmt.Sprintf("prepaid %d and spent %d are out of range", b.Prepaid, b.Spent))
 	}
+	if b.WrittenOff < 0 || b.WrittenOff > b.Spent {
+		return invariantError(id, fmt.Sprintf("written off %d is not within spent %d", b.WrittenOff, b.Spent))
+	}
 	for incarnation, lease := range b.Leases {
-		if lease.Tokens < 0 {
-			return invariantError(id, fmt.Sprintf("lease of %s holds %d tokens", incarnation, lease.Tokens))
+		if lease == nil || lease.Tokens < 0 || lease.Taken < 0 || lease.Acked > lease.Granted {
+			return invariantError(id, fmt.Sprintf("lease of %s is out of range", incarnation))
 		}
 	}
 	if b.Remaining() < 0 {
@@ -77,63 +126,91 @@
 	return &Error{Kind: KindInvariant, Budget: id, Detail: detail, Remedy: "report this as a defect; the change was not written"}
 }
 
-// TopUp adds tokens to a budget, and makes the budget when it does not exist.
-// A repeat of the same id and amount has no effect.
-func (s *Shard) TopUp(id nutmegid.BudgetID, topUp nutmegid.TopUpID, amount nutmegid.Tokens) error {
-	if amount <= 0 || amount > maxTokens {
-		return &Error{
-			Kind: KindBadAmount, Budget: id, Detail: fmt.Sprintf("top-up of %d tokens", amount),
-			Remedy: fmt.Sprintf("give an amount from 1 to %d", int64(maxTokens)),
-		}
+// find returns a budget in force, nil where there is none. A damaged entry is
+// an error.
+func (s *Shard) find(id nutmegid.BudgetID) (*Budget, error) {
+	b, ok := s.Budgets[id]
+	if !ok {
+		return nil, nil
 	}
-	b := s.budget(id)
-	if applied, ok := b.TopUps[topUp]; ok {
-		if applied == amount {
-			return nil
-		}
-		return &Error{
-			Kind: KindTopUpReused, Budget: id, Detail: fmt.Sprintf("top-up %q was applied with %d tokens", topUp, applied),
-			Remedy: "use a new top-up id for another amount",
-		}
+	if b == nil {
+		return nil, invariantError(id, "the stored budget is empty")
 	}
-	if b.Prepaid+amount > maxTokens {
-		return &Error{
-			Kind: KindBadAmount, Budget: id, Detail: fmt.Sprintf("top-up of %d tokens overflows", amount),
-			Remedy: fmt.Sprintf("keep the budget under %d", int64(maxTokens)),
-		}
+	if err := b.Check(id); err != nil {
+		return nil, err
 	}
-	b.TopUps[topUp] = amount
-	b.Prepaid += amount
-	return b.Check(id)
+	if b.Removed {
+		return nil, nil
+	}
+	b.makeMaps()
+	return b, nil
 }
 
-func (s *Shard) budget(id nutmegid.BudgetID) *Budget {
-	if s.Budgets == nil {
-		s.Budgets = make(map[nutmegid.BudgetID]*Budget)
-	}
-	b, ok := s.Budgets[id]
-	if !ok {
-		b = &Budget{}
-		s.Budgets[id] = b
-	}
+func (b *Budget) makeMaps() {
 	if b.TopUps == nil {
 		b.TopUps = make(map[nutmegid.TopUpID]nutmegid.Tokens)
 	}
 	if b.Leases == nil {
 		b.Leases = make(map[nutmegid.Incarnation]*Lease)
 	}
-	return b
+	if b.Transfers == nil {
+		b.Transfers = make(map[nutmegid.TransferID]*Transfer)
+	}
+}
+
+// lease returns the lease of an incarnation, made when absent.
+func (b *Budget) lease(inc nutmegid.Incarnation) *Lease {
+	l, ok := b.Leases[inc]
+	if !ok {
+		l = &Lease{}
+		b.Leases[inc] = l
+	}
+	return l
+}
+
+// leaseOf returns the lease of an incarnation, nil where there is none.
+func (b *Budget) leaseOf(inc nutmegid.Incarnation) *Lease {
+	if b == nil {
+		return nil
+	}
+	return b.Leases[inc]
 }
 
-// Release closes the lease of an incarnation that an operator states to be
-// gone. Its unsettled tokens return to the budget.
-func (b *Budget) Release(incarnation nutmegid.Incarnation) nutmegid.Tokens {
-	lease, ok := b.Leases[incarnation]
+// shift adds n tokens, which may be negative, to the share of a holder. The
+// share of a released holder is part of the write-off.
+func (b *Budget) shift(inc nutmegid.Incarnation, n nutmegid.Tokens) {
+	l, ok := b.Leases[inc]
+	if !ok && n < 0 {
+		b.writeOff(n)
+		return
+	}
 	if !ok {
-		return 0
+		l = b.lease(inc)
+	}
+	l.Tokens += n
+	if l.Released {
+		b.writeOff(n)
+	}
+}
+
+func (b *Budget) writeOff(n nutmegid.Tokens) {
+	b.Spent += n
+	b.WrittenOff += n
+}
+
+// name applies a transfer for one of its sides. The first naming moves the
+// tokens, the second forgets the transfer.
+func (b *Budget) name(t Transfer, by nutmegid.Incarnation) {
+	known, ok := b.Transfers[t.ID]
+	if !ok {
+		b.shift(t.Giver, -t.Tokens)
+		b.shift(t.Receiver, t.Tokens)
+		known = &Transfer{ID: t.ID, Giver: t.Giver, Receiver: t.Receiver, Tokens: t.Tokens}
+		b.Transfers[t.ID] = known
+	}
+	known.NamedByGiver = known.NamedByGiver || by == t.Giver
+	known.NamedByReceiver = known.NamedByReceiver || by == t.Receiver
+	if known.NamedByGiver && known.NamedByReceiver {
+		delete(b.Transfers, t.ID)
 	}
-	freed := lease.Tokens
-	lease.Tokens = 0
-	lease.Released = true
-	return freed
 }
--- a/nutmegnode/budget.go
+++ b/nutmegnode/budget.go
@@ -7,7 +7,6 @@
 
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
-	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
@@ -32,10 +31,10 @@
 	})
 }
 
-func (n *Node) committed(id nutmegid.BudgetID, settled, granted nutmegid.Tokens) {
+func (n *Node) committed(c nutmegbudget.Committed) {
 	n.ring.Record(nutmegtime.Event{
-		Kind: nutmegtime.KindLease, Budget: id, Tokens: granted,
-		Detail: fmt.Sprintf("settled %d", settled),
+		Kind: nutmegtime.KindLease, Budget: c.Budget, Tokens: c.Granted,
+		Detail: fmt.Sprintf("settled %d, returned %d", c.Settled, c.Returned),
 	})
 }
 
