Resume answers by authenticated event ids; retries, suspects and bounds of one request

Cause: an answer lived only in its caller's connection. A broken caller or engine connection, a dead instance or a crashed engine cut it, an engine could run past the reservation, and net/http could send a protected call twice: it repeats a request with Idempotency-Key when a kept connection proves dead.

Ways ruled out: replicating answers among instances (the caller can carry the place); a store record for each request (34,000 writes a second); cancelling on the caller's leave (a reconnect may be under way at another instance).

Now: a chat runs apart from its callers; events carry {request, upstream, stream, offset} with an HMAC; any instance resumes at the engine; the reader of a stream is decided by compare and set before it may be cancelled; engines are cancelled at the bound; retries pay from a retry budget and reserve anew; calls that may not be repeated get a connection of their own and no redirects.

--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -11,6 +11,10 @@
 	DefaultMaxHeaderBytes = 32 << 10
 	// DefaultMaxConnections is the number of callers' connections that an instance keeps open.
 	DefaultMaxConnections = 4096
+	// DefaultKeepUnread is how long an answer goes on after its caller went away.
+	DefaultKeepUnread = 30 * time.Second
+	// DefaultUpstreamIdle is the silence after which a connection to an upstream is replaced.
+	DefaultUpstreamIdle = 10 * time.Second
 	// DefaultBudgetShards is the number of objects that hold budgets.
 	DefaultBudgetShards = 1
 )
--- a/nutmegconf/settings.go
+++ b/nutmegconf/settings.go
@@ -87,6 +87,10 @@
 	MaxHeaderBytes  int      `toml:"max_header_bytes"`
 	MaxConnections  int      `toml:"max_connections"`
 	ShutdownTimeout Duration `toml:"shutdown_timeout"`
+	// KeepUnread is how long an answer goes on after its caller went away.
+	KeepUnread Duration `toml:"keep_unread"`
+	// UpstreamIdle is the silence after which a connection to an upstream is replaced.
+	UpstreamIdle Duration `toml:"upstream_idle"`
 }
 
 // LogSettings choose the form of the logs.
@@ -106,6 +110,8 @@
 			MaxHeaderBytes:  DefaultMaxHeaderBytes,
 			MaxConnections:  DefaultMaxConnections,
 			ShutdownTimeout: Duration(DefaultShutdownTimeout),
+			KeepUnread:      Duration(DefaultKeepUnread),
+			UpstreamIdle:    Duration(DefaultUpstreamIdle),
 		},
 		Log: LogSettings{Level: "info", Format: "text"},
 	}
--- a/nutmegledger/ledger.go
+++ b/nutmegledger/ledger.go
@@ -42,6 +42,7 @@
 	Model     nutmegid.Model     `json:"model,omitempty"`
 	Route     nutmegid.Route     `json:"route,omitempty"`
 	Tokens    nutmegid.Tokens    `json:"tokens"`
+	Exact     bool               `json:"exact"` // counted by the upstream; an upper bound otherwise
 	EndedAt   time.Time          `json:"ended_at"`
 }
 
--- /dev/null
+++ b/nutmegnode/answer_writer.go
@@ -0,0 +1,225 @@
+package nutmegnode
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"strings"
+
+	"github.com/nutmegwind/nutmegwind/nutmegroute"
+)
+
+// answerWriter passes an answer on as events, or gathers it into one body.
+type answerWriter struct {
+	w       http.ResponseWriter
+	signer  *nutmegroute.Signer
+	stream  bool
+	started bool
+	offset  nutmegroute.Offset // of the last event written
+	ids     *nutmegroute.IDWriter
+	place   nutmegroute.Place
+	whole   completion
+	buffer  bytes.Buffer
+}
+
+func (n *Node) newAnswerWriter(w http.ResponseWriter, stream bool, after nutmegroute.Offset) *answerWriter {
+	return &answerWriter{w: w, signer: n.signer, stream: stream, offset: after}
+}
+
+// events writes the next events of the stream at place.
+func (a *answerWriter) events(place nutmegroute.Place, events []nutmegroute.Event) error {
+	if !a.stream {
+		return a.gather(events)
+	}
+	if err := a.begin(place); err != nil {
+		return err
+	}
+	a.buffer.Reset()
+	for _, e := range events {
+		a.buffer.WriteString("id: ")
+		a.buffer.WriteString(a.ids.ID(e.Offset))
+		a.buffer.WriteString("\ndata: ")
+		a.buffer.Write(e.Data)
+		a.buffer.WriteString("\n\n")
+	}
+	if err := a.flush(); err != nil {
+		return err
+	}
+	a.offset = events[len(events)-1].Offset
+	return nil
+}
+
+// begin sends the headers, and makes the event ids of the place.
+func (a *answerWriter) begin(place nutmegroute.Place) error {
+	if !a.started {
+		a.started = true
+		a.w.Header().Set("Content-Type", "text/event-stream")
+		a.w.Header().Set("Cache-Control", "no-store")
+	}
+	if a.ids != nil && a.place == place {
+		return nil
+	}
+	var err error
+	a.place = place
+	a.ids, err = a.signer.Writer(place)
+	return err
+}
+
+func (a *answerWriter) flush() error {
+	if _, err := a.w.Write(a.buffer.Bytes()); err != nil {
+		return err
+	}
+	return http.NewResponseController(a.w).Flush()
+}
+
+func (a *answerWriter) gather(events []nutmegroute.Event) error {
+	for _, e := range events {
+		if err := a.whole.add(e.Data); err != nil {
+			return err
+		}
+	}
+	a.offset = events[len(events)-1].Offset
+	return nil
+}
+
+// end finishes the answer. An error before the first event is returned for a
+// plain refusal; one after it is an error event, without the end mark.
+func (a *answerWriter) end(err error) error {
+	if err != nil && !a.started {
+		return err
+	}
+	if err != nil {
+		return a.errorEvent(err)
+	}
+	if !a.stream {
+		writeJSON(a.w, http.StatusOK, a.whole.body())
+		return nil
+	}
+	if err := a.begin(a.place); err != nil {
+		return err
+	}
+	a.buffer.Reset()
+	a.buffer.WriteString("data: [DONE]\n\n")
+	_ = a.flush()
+	return nil
+}
+
+func (a *answerWriter) errorEvent(err error) error {
+	data, marshalErr := json.Marshal(errorBody{Error: apiError(err)})
+	if marshalErr != nil {
+		return marshalErr
+	}
+	a.buffer.Reset()
+	a.buffer.WriteString("event: error\ndata: ")
+	a.buffer.Write(data)
+	a.buffer.WriteString("\n\n")
+	_ = a.flush()
+	return nil
+}
+
+// completion gathers the events of an answer into one chat completion.
+type completion struct {
+	id      string
+	model   string
+	created int64
+	text    strings.Builder
+	refusal strings.Builder
+	tools   []toolCall
+	finish  string
+	usage   json.RawMessage
+}
+
+// toolCall is one call of a tool, whose arguments arrive in parts.
+type toolCall struct {
+	Index    int    `json:"index"`
+	ID       string `json:"id,omitempty"`
+	Type     string `json:"type,omitempty"`
+	Function struct {
+		Name      string `json:"name"`
+		Arguments string `json:"arguments"`
+	} `json:"function"`
+}
+
+// completionChunk is one event of an answer.
+type completionChunk struct {
+	ID      string `json:"id"`
+	Model   string `json:"model"`
+	Created int64  `json:"created"`
+	Choices []struct {
+		Delta struct {
+			Content   string     `json:"content"`
+			Refusal   string     `json:"refusal"`
+			ToolCalls []toolCall `json:"tool_calls"`
+		} `json:"delta"`
+		FinishReason string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage json.RawMessage `json:"usage"`
+}
+
+func (c *completion) add(data []byte) error {
+	var chunk completionChunk
+	if err := json.Unmarshal(data, &chunk); err != nil {
+		return err
+	}
+	c.id, c.model, c.created = chunk.ID, chunk.Model, chunk.Created
+	for _, choice := range chunk.Choices {
+		c.text.WriteString(choice.Delta.Content)
+		c.refusal.WriteString(choice.Delta.Refusal)
+		for _, call := range choice.Delta.ToolCalls {
+			c.addTool(call)
+		}
+		if choice.FinishReason != "" {
+			c.finish = choice.FinishReason
+		}
+	}
+	if len(chunk.Usage) > 0 && string(chunk.Usage) != "null" {
+		c.usage = chunk.Usage
+	}
+	return nil
+}
+
+func (c *completion) addTool(part toolCall) {
+	for i := range c.tools {
+		if c.tools[i].Index == part.Index {
+			c.tools[i].Function.Name += part.Function.Name
+			c.tools[i].Function.Arguments += part.Function.Arguments
+			return
+		}
+	}
+	c.tools = append(c.tools, part)
+}
+
+// completionBody is a chat completion without streaming.
+type completionBody struct {
+	ID      string             `json:"id"`
+	Object  string             `json:"object"`
+	Created int64              `json:"created,omitempty"`
+	Model   string             `json:"model"`
+	Choices []completionChoice `json:"choices"`
+	Usage   json.RawMessage    `json:"usage,omitempty"`
+}
+
+type completionChoice struct {
+	Index        int               `json:"index"`
+	Message      completionMessage `json:"message"`
+	FinishReason string            `json:"finish_reason"`
+}
+
+type completionMessage struct {
+	Role      string     `json:"role"`
+	Content   string     `json:"content"`
+	Refusal   string     `json:"refusal,omitempty"`
+	ToolCalls []toolCall `json:"tool_calls,omitempty"`
+}
+
+func (c *completion) body() completionBody {
+	return completionBody{
+		ID: c.id, Object: "chat.completion", Created: c.created, Model: c.model, Usage: c.usage,
+		Choices: []completionChoice{{
+			Message: completionMessage{
+				Role: "assistant", Content: c.text.String(), Refusal: c.refusal.String(), ToolCalls: c.tools,
+			},
+			FinishReason: c.finish,
+		}},
+	}
+}
--- a/nutmegnode/apierror.go
+++ b/nutmegnode/apierror.go
@@ -40,13 +40,16 @@
 	var route *nutmegroute.Error
 	var store *nutmegstore.Error
 	var mismatch *nutmegorder.BodyMismatchError
+	var place *nutmegroute.PlaceError
 	switch {
 	case errors.As(err, &known):
 		return known
 	case errors.As(err, &budget):
 		return refusal(budgetStatus(budget.Kind), string(budget.Kind), err.Error())
 	case errors.As(err, &route):
-		return &APIError{Status: http.StatusBadGateway, Kind: string(route.Kind), Message: err.Error(), Run: route.Ran}
+		return &APIError{Status: routeStatus(route.Kind), Kind: string(route.Kind), Message: err.Error(), Run: route.Ran}
+	case errors.As(err, &place):
+		return refusal(placeStatus(place.Kind), string(place.Kind), err.Error())
 	case errors.As(err, &mismatch):
 		return refusal(http.StatusUnprocessableEntity, "key_reused", err.Error())
 	case errors.As(err, &store):
@@ -62,6 +65,27 @@
 	return http.StatusPaymentRequired
 }
 
+func routeStatus(kind nutmegroute.ErrorKind) int {
+	switch kind {
+	case nutmegroute.KindNoUpstream, nutmegroute.KindRefused, nutmegroute.KindSuspect:
+		return http.StatusServiceUnavailable
+	case nutmegroute.KindDeadline:
+		return http.StatusGatewayTimeout
+	case nutmegroute.KindQuarantined:
+		return http.StatusUnprocessableEntity
+	case nutmegroute.KindLost, nutmegroute.KindCancelled:
+		return http.StatusGone
+	}
+	return http.StatusBadGateway
+}
+
+func placeStatus(kind nutmegroute.PlaceErrorKind) int {
+	if kind == nutmegroute.PlaceForeign {
+		return http.StatusForbidden
+	}
+	return http.StatusBadRequest
+}
+
 func writeError(w http.ResponseWriter, err error) {
 	e := apiError(err)
 	writeJSON(w, e.Status, errorBody{Error: e})
--- /dev/null
+++ b/nutmegnode/chat.go
@@ -0,0 +1,171 @@
+package nutmegnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegledger"
+	"github.com/nutmegwind/nutmegwind/nutmegroute"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
+)
+
+const (
+	lastEventHeader = "Last-Event-ID"
+	keyHeader       = "Idempotency-Key"
+	replayedHeader  = "Idempotent-Replayed"
+)
+
+// chat answers a chat completion request, or goes on with an answer whose
+// events the caller has in part.
+func (n *Node) chat(w http.ResponseWriter, r *request) error {
+	if id := r.Header.Get(lastEventHeader); id != "" {
+		return n.resume(w, r, id)
+	}
+	chat, parsed, err := newChat(r)
+	if err != nil {
+		return err
+	}
+	ctx, cancelDeadline, err := withDeadline(context.WithoutCancel(r.Context()), r.Header, time.Now())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	a := &answer{
+		key:      answerKey{workspace: r.caller.Workspace, target: "chat", key: nutmegid.OrderKey(r.Header.Get(keyHeader))},
+		bodyHash: nutmegconf.HashKey(string(r.body)),
+		request:  r.id,
+		log:      nutmegroute.NewAnswerLog(0, maxHeldBytes),
+		cancel:   cancel,
+	}
+	a.onUnread = func() { n.abandon(a) }
+	a, mine, err := n.answers.begin(a)
+	if err != nil || !mine {
+		cancelDeadline()
+		cancel(nil)
+	}
+	if err != nil {
+		return err
+	}
+	if mine {
+		run := &chatRun{node: n, caller: r.caller, chat: chat, answer: a}
+		n.running.Add(1)
+		go run.run(ctx, cancelDeadline)
+	} else {
+		w.Header().Set(replayedHeader, "true")
+		w.Header().Set(requestHeader, string(a.request))
+	}
+	return n.deliver(w, r, a, 0, parsed.Stream)
+}
+
+// deliver writes an answer from an offset to one caller.
+func (n *Node) deliver(w http.ResponseWriter, r *request, a *answer, after nutmegroute.Offset, stream bool) error {
+	out := n.newAnswerWriter(w, stream, after)
+	a.attach()
+	defer a.detach(n.keepUnread)
+	err := a.log.Follow(r.Context(), after, out.events)
+	if errors.Is(err, nutmegroute.ErrEvicted) {
+		err = n.followEngine(r.Context(), a.log.Place(), out)
+	}
+	return out.end(err)
+}
+
+// followEngine reads the rest of an answer from the engine for one caller.
+func (n *Node) followEngine(ctx context.Context, place nutmegroute.Place, out *answerWriter) error {
+	_, err := n.sender.Read(ctx, place, out.offset, func(e nutmegroute.Event) error {
+		return out.events(place, []nutmegroute.Event{e})
+	})
+	return err
+}
+
+// chatRun runs one chat, apart from the callers that read its answer.
+type chatRun struct {
+	node         *Node
+	caller       nutmegconf.Caller
+	chat         nutmegroute.Chat
+	answer       *answer
+	reservations []nutmegbudget.Reservation
+}
+
+// run reserves, sends, settles and bills. The answer ends only after that, so
+// that a whole answer is always a billed one.
+func (c *chatRun) run(ctx context.Context, cancelDeadline context.CancelFunc) {
+	defer c.node.running.Done()
+	defer cancelDeadline()
+	c.chat.OnPlace = c.answer.log.SetPlace
+	c.chat.Again = c.reserve
+	err := c.reserve(ctx)
+	if err == nil {
+		var use nutmegroute.Use
+		use, err = c.node.sender.Chat(ctx, c.chat, c.answer.log.Append)
+		c.settle(use, err)
+	}
+	c.answer.log.Finish(err)
+	c.node.answers.finish(c.answer, err == nil)
+}
+
+// reserve takes the bound of one attempt from both budgets.
+func (c *chatRun) reserve(ctx context.Context) error {
+	reservation, err := c.node.holder.Acquire(ctx, c.caller.WorkspaceBudget, c.caller.OwnerBudget, c.chat.Bound)
+	if err != nil {
+		return err
+	}
+	c.reservations = append(c.reservations, reservation)
+	c.node.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindReserve, Request: c.chat.Request, Budget: c.caller.WorkspaceBudget, Tokens: c.chat.Bound})
+	return nil
+}
+
+// settle counts what the request used, on budgets and in the ledger.
+func (c *chatRun) settle(use nutmegroute.Use, err error) {
+	left := use.Tokens
+	var settled nutmegid.Tokens
+	for _, r := range c.reservations {
+		used := min(left, r.Tokens())
+		r.Settle(used)
+		left -= used
+		settled += used
+	}
+	if settled == 0 && err != nil {
+		return
+	}
+	c.node.addLine(nutmegledger.Line{
+		Request: c.chat.Request, Workspace: c.caller.Workspace, Owner: c.caller.Owner,
+		Upstream: use.Upstream, Model: c.chat.Model, Tokens: settled, Exact: use.Exact,
+	})
+	c.node.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindSettle, Request: c.chat.Request, Budget: c.caller.WorkspaceBudget, Upstream: use.Upstream, Tokens: settled})
+}
+
+func (n *Node) addLine(line nutmegledger.Line) {
+	line.EndedAt = time.Now()
+	n.ledger.Add(line)
+}
+
+// abandon cancels an answer that no caller reads, unless another instance has
+// taken its stream over.
+func (n *Node) abandon(a *answer) {
+	ctx, cancel := context.WithTimeout(context.Background(), streamStoreTimeout)
+	defer cancel()
+	if !n.streams.close(ctx, a.request) {
+		n.count("unread_answers_left")
+		return
+	}
+	n.count("unread_answers_cancelled")
+	a.cancel(errUnread)
+}
+
+// drain waits for running requests. When ctx ends before, it cancels them.
+func (n *Node) drain(ctx context.Context) {
+	stop := context.AfterFunc(ctx, func() { n.answers.cancelAll(errShutdown) })
+	defer stop()
+	n.running.Wait()
+}
+
+func keyReusedError(key nutmegid.OrderKey) error {
+	return refusal(http.StatusUnprocessableEntity, "key_reused",
+		fmt.Sprintf("idempotency key %q was used with another body; use a new key for another request", key))
+}
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -64,6 +64,10 @@
 	pool        *nutmegroute.Pool
 	sender      *nutmegroute.Sender
 	peers       *nutmegpeer.Peers
+	signer      *nutmegroute.Signer
+	streams     streamOwners
+	answers     *answers
+	keepUnread  time.Duration
 
 	callers   *http.Server
 	operators *http.Server
@@ -105,6 +109,7 @@
 	n.buildStore()
 	n.buildBudget()
 	n.buildRouting()
+	n.buildAnswers()
 	return n, nil
 }
 
@@ -129,6 +134,13 @@
 	})
 }
 
+func (n *Node) buildAnswers() {
+	n.signer = nutmegroute.NewSigner([]byte(n.cfg.Settings.Peers.Key))
+	n.streams = streamOwners{store: n.writer, incarnation: n.incarnation}
+	n.answers = newAnswers()
+	n.keepUnread = time.Duration(n.cfg.Settings.Limits.KeepUnread)
+}
+
 // Start listens and takes requests.
 func (n *Node) Start() error {
 	l := n.cfg.Settings.Listen
@@ -223,7 +235,7 @@
 	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStop})
 	n.peers.Leave()
 	failed := n.callers.Shutdown(ctx)
-	n.running.Wait()
+	n.drain(ctx)
 	failed = errors.Join(failed, n.holder.Stop(ctx), n.ledger.Stop(ctx))
 	n.watchStop()
 	<-n.watchDone
@@ -240,6 +252,8 @@
 	_ = n.callers.Close()
 	_ = n.operators.Close()
 	n.watchStop()
+	n.sender.Abandon()
+	n.answers.cancelAll(errAbandoned)
 	n.holder.Abandon()
 	n.ledger.Abandon()
 	n.peers.Stop()
--- a/nutmegnode/routing.go
+++ b/nutmegnode/routing.go
@@ -14,7 +14,9 @@
 		Chooser:  nutmegroute.NewTwoChoices(uint64(time.Now().UnixNano())),
 		Instance: n.cfg.Settings.Instance.Name,
 	})
-	n.sender = nutmegroute.NewSender(nutmegroute.SenderConfig{Pool: n.pool, Dial: n.cfg.Dial})
+	n.sender = nutmegroute.NewSender(nutmegroute.SenderConfig{
+		Pool: n.pool, Dial: n.cfg.Dial, IdleTimeout: time.Duration(n.cfg.Settings.Limits.UpstreamIdle),
+	})
 	n.view.OnApply(n.applied)
 }
 
--- a/nutmegnode/services.go
+++ b/nutmegnode/services.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/url"
+	"strings"
 
 	"github.com/go-chi/chi/v5"
 
@@ -22,16 +24,15 @@
 		return refusal(http.StatusNotFound, "unknown_route", fmt.Sprintf("route %q does not exist; ask an operator to add it", route))
 	}
 	call := nutmegroute.Call{
-		Request: r.id,
-		Route:   route,
-		Key:     nutmegid.OrderKey(r.Header.Get("Idempotency-Key")),
-		Method:  r.Method,
-		Path:    "/" + chi.URLParam(r.Request, "*"),
-		Header:  r.Header,
-		Body:    r.body,
-
-		Workspace: r.caller.Workspace,
-		Priority:  priorityLevel(rule.Priority),
+		Request: r.id, Workspace: r.caller.Workspace,
+		Route:  route,
+		Key:    nutmegid.OrderKey(r.Header.Get("Idempotency-Key")),
+		Method: r.Method,
+		Path:   servicePath(r.URL),
+		Query:  r.URL.Query(),
+		Header: r.Header,
+		Body:   r.body,
+		Repeat: repeatOf(rule.Rule),
 	}
 	if rule.Rule == nutmegconf.RuleProtected {
 		return n.protected(w, r, call)
@@ -107,3 +108,21 @@
 	w.WriteHeader(status)
 	_, _ = w.Write(body)
 }
+
+// servicePath is the part of a caller's path that the service sees, escaped as
+// the caller sent it.
+func servicePath(u *url.URL) string {
+	const prefixParts = 4 // "", "v1", "services" and the route
+	parts := strings.SplitN(u.EscapedPath(), "/", prefixParts+1)
+	if len(parts) <= prefixParts {
+		return "/"
+	}
+	return "/" + parts[prefixParts]
+}
+
+func repeatOf(rule nutmegconf.RepeatRule) nutmegroute.Repeat {
+	if rule == nutmegconf.RuleRepeatable {
+		return nutmegroute.RepeatYes
+	}
+	return nutmegroute.RepeatNotRun
+}
--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -3,13 +3,46 @@
 import "time"
 
 const (
-	// DefaultIdleTimeout is the silence after which a stream is given up.
+	// DefaultIdleTimeout is the silence after which a connection to an upstream is replaced.
 	DefaultIdleTimeout = 10 * time.Second
-	// DefaultConnectTimeout bounds the wait for an upstream's answer headers.
+	// DefaultConnectTimeout bounds the wait for a connection and for a stream's answer headers.
 	DefaultConnectTimeout = 5 * time.Second
+	// DefaultCallTimeout bounds one call of a plain service.
+	DefaultCallTimeout = 30 * time.Second
+	// DefaultResumeWindow is how long an engine may be unreachable before its stream is given up.
+	DefaultResumeWindow = 20 * time.Second
+	// DefaultSilenceLimit is how long an engine may hold a stream without a new event.
+	DefaultSilenceLimit = 5 * time.Minute
+	// DefaultHedgeDelay is the wait for a look-up's answer before it is sent a second time.
+	DefaultHedgeDelay = 100 * time.Millisecond
+	// DefaultMaxAttempts bounds how often one request is sent.
+	DefaultMaxAttempts = 3
 
-	maxEventBytes = 1 << 20
-	maxAnswerSize = 16 << 20 // bytes of a plain service's answer
+	maxEventBytes  = 1 << 20
+	maxAnswerBytes = 16 << 20 // of a plain service's answer
+
+	eventIDPurpose  = "nutmegwind event id v1"
+	signatureBytes  = 16
+	maxEventIDBytes = 4096
+
+	idleConnections     = 256 // kept to each upstream
+	idleConnectionLimit = 30 * time.Second
+
+	firstResumeDelay     = 20 * time.Millisecond
+	maxResumeDelay       = time.Second
+	maxBarrenConnections = 5               // connections in a row that break without a new event
+	cancelTimeout        = 2 * time.Second // of one order to cancel a stream
+	cancelAttempts       = 3
+	maxErrorBytes        = 4096 // of an upstream's error text
+
+	retryShare     = 0.2  // retries that each first attempt pays for
+	retryReserve   = 10.0 // retries that may be made without first attempts
+	maxRetryTokens = 50.0
+
+	maxSuspects         = 1024 // entries that instances remember and share
+	trialTimeout        = 2 * time.Minute
+	trialPollInterval   = 50 * time.Millisecond
+	suspectStoreTimeout = 2 * time.Second
 )
 
 // PrefixBlockBytes is the length of a block of a prompt that engines cache as a whole.
--- a/nutmegroute/health.go
+++ b/nutmegroute/health.go
@@ -36,6 +36,16 @@
 	verdictBad
 )
 
+// upstreamFault are the kinds of errors that speak against an upstream.
+var upstreamFault = map[ErrorKind]bool{
+	KindBroken:       true,
+	KindLost:         true,
+	KindSilent:       true,
+	KindOverran:      true,
+	KindUnreachable:  true,
+	KindUpstreamCode: true,
+}
+
 // verdictOf judges by the error of an attempt. A refusal and a caller that
 // went away say nothing against the upstream.
 func verdictOf(err error) verdict {
@@ -45,7 +55,7 @@
 		return verdictGood
 	case !errors.As(err, &e) || errors.Is(err, context.Canceled):
 		return verdictNone
-	case e.Kind == KindBroken || e.Kind == KindUnreachable || e.Kind == KindUpstreamCode:
+	case upstreamFault[e.Kind]:
 		return verdictBad
 	}
 	return verdictNone
--- a/nutmegstand/engine.go
+++ b/nutmegstand/engine.go
@@ -360,6 +360,9 @@
 // writeEnd sends the finish reason and the usage, then the end mark.
 func writeEnd(w io.Writer, s *stream, run EngineRun) {
 	reason := "length"
+	if run.Cancelled {
+		reason = "abort"
+	}
 	c := chunk{
 		ID:      run.Stream,
 		Object:  "chat.completion.chunk",
--- a/nutmegtime/event.go
+++ b/nutmegtime/event.go
@@ -21,6 +21,7 @@
 	KindSend        Kind = "send"
 	KindFirstToken  Kind = "first_token"
 	KindAnswer      Kind = "answer"
+	KindResume      Kind = "resume"
 	KindSettle      Kind = "settle"
 	KindLease       Kind = "lease"
 	KindReturn      Kind = "return"
--- a/nutmegtrace/replay_test.go
+++ b/nutmegtrace/replay_test.go
@@ -72,7 +72,7 @@
 	run := f.Engines[0].Runs()[0]
 	wantLines := []nutmegledger.Line{{
 		Request: result.Request, Workspace: "rack", Owner: "kaca", Upstream: "engine-1", Model: DefaultModel,
-		Tokens: nutmegid.Tokens(run.PromptTokens + run.AnswerTokens),
+		Tokens: nutmegid.Tokens(run.PromptTokens + run.AnswerTokens), Exact: true,
 	}}
 	ignoreTime := cmp.FilterPath(func(p cmp.Path) bool { return p.Last().String() == ".EndedAt" }, cmp.Ignore())
 	if diff := cmp.Diff(wantLines, lines, ignoreTime); diff != "" {
