--- /dev/null
+++ b/cmd/nutmegload/plots.go
@@ -0,0 +1,92 @@
+package main
+
+import (
+	"path/filepath"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	barWidth   = 8   // points
+	plotHeight = 300 // points
+	plotMargin = 200 // points
+	groupWidth = 60  // points of one measure
+)
+
+// plotGroup is a set of measures that share a scale.
+type plotGroup struct {
+	name     string
+	measures []string
+}
+
+var plotGroups = []plotGroup{
+	{name: "requests", measures: []string{"answered", "refused_not_run", "refused_other", "unanswered", "false_refusals"}},
+	{name: "promises", measures: []string{
+		"double_billed", "unbilled", "cut_answers", "wrong_answers", "protected_double_runs", "not_run_but_ran", "sent_to_leaving", "config_reverts",
+	}},
+	{name: "tokens", measures: []string{"overspend_tokens", "stranded_tokens", "served_tokens"}},
+	{name: "latency_ms", measures: []string{
+		"first_token_ms_p50", "first_token_ms_p95", "first_token_ms_p99", "between_tokens_ms_p95", "look_up_ms_p99", "order_ms_p99", "config_in_force_ms_max",
+	}},
+	{name: "platform_calls", measures: []string{"platform_reads", "platform_writes"}},
+}
+
+// writePlots draws one bar chart for each group, summed over the traces, next
+// to the report. It returns the files' names.
+func writePlots(o compareOptions, a, b string, rows []row) ([]string, error) {
+	var files []string
+	for _, group := range plotGroups {
+		p, err := groupPlot(group, a, b, rows)
+		if err != nil {
+			return nil, err
+		}
+		base := strings.TrimSuffix(filepath.Base(o.report), filepath.Ext(o.report))
+		file := base + "-" + group.name + "." + o.plots
+		width := vg.Points(plotMargin + groupWidth*float64(len(group.measures)))
+		if err := p.Save(width, vg.Points(plotHeight), filepath.Join(filepath.Dir(o.report), file)); err != nil {
+			return nil, err
+		}
+		files = append(files, file)
+	}
+	return files, nil
+}
+
+func groupPlot(group plotGroup, a, b string, rows []row) (*plot.Plot, error) {
+	p := plot.New()
+	p.Title.Text = group.name
+	p.NominalX(group.measures...)
+	p.X.Tick.Label.Rotation = 0.5
+	p.X.Tick.Label.XAlign = -0.8
+	p.Legend.Top = true
+	for n, name := range []string{a, b} {
+		bars, err := plotter.NewBarChart(groupValues(group, rows, n == 0), vg.Points(barWidth))
+		if err != nil {
+			return nil, err
+		}
+		bars.Offset = vg.Points(barWidth * float64(2*n-1) / 2)
+		bars.Color = plotutil.Color(n)
+		p.Add(bars)
+		p.Legend.Add(name, bars)
+	}
+	return p, nil
+}
+
+func groupValues(group plotGroup, rows []row, first bool) plotter.Values {
+	values := make(plotter.Values, len(group.measures))
+	for n, measure := range group.measures {
+		for _, r := range rows {
+			switch {
+			case r.Measure != measure:
+			case first:
+				values[n] += float64(r.A)
+			default:
+				values[n] += float64(r.B)
+			}
+		}
+	}
+	return values
+}
--- a/nutmegstand/links.go
+++ b/nutmegstand/links.go
@@ -13,12 +13,14 @@
 var errCut = errors.New("link is cut")
 
 // Links stand in for the network between processes: each process dials through
-// its own dialer, and links from one process to one address can be cut, or the
-// open connections on them silenced.
+// its own dialer. Links from one process to one address can be cut and delayed,
+// the open connections on them silenced, and all links of a process frozen.
 type Links struct {
-	mu    sync.Mutex
-	cut   map[link]bool
-	conns map[link]map[*linkConn]struct{}
+	mu     sync.Mutex
+	cut    map[link]bool
+	frozen map[string]chan struct{} // by process or address; closed at the thaw
+	conns  map[link]map[*linkConn]struct{}
+	delay  func(from, to string) time.Duration
 }
 
 // link is one direction of dialling: who dials which address.
@@ -32,13 +34,29 @@
 
 // NewLinks returns links that are all whole.
 func NewLinks() *Links {
-	return &Links{cut: make(map[link]bool), conns: make(map[link]map[*linkConn]struct{})}
+	return &Links{
+		cut:    make(map[link]bool),
+		frozen: make(map[string]chan struct{}),
+		conns:  make(map[link]map[*linkConn]struct{}),
+		delay:  func(string, string) time.Duration { return 0 },
+	}
+}
+
+// SetDelay gives new connections the one-way delay that fn returns for who
+// dials which address.
+func (l *Links) SetDelay(fn func(from, to string) time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.delay = fn
 }
 
 // Dialer returns the dial function of one process.
 func (l *Links) Dialer(from string) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		at := link{from: from, to: address}
+		if err := l.waitThaw(at, ctx.Done()); err != nil {
+			return nil, &net.OpError{Op: "dial", Net: network, Err: ctx.Err()}
+		}
 		if l.isCut(at) {
 			return nil, &net.OpError{Op: "dial", Net: network, Err: errCut}
 		}
@@ -80,6 +98,50 @@
 	}
 }
 
+// Freeze holds back all data from and to the named processes and addresses
+// until Thaw. Nothing is lost.
+func (l *Links) Freeze(ends ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, end := range ends {
+		if l.frozen[end] == nil {
+			l.frozen[end] = make(chan struct{})
+		}
+	}
+}
+
+// Thaw lets the data of the named processes and addresses pass again.
+func (l *Links) Thaw(ends ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, end := range ends {
+		if thawed, ok := l.frozen[end]; ok {
+			close(thawed)
+			delete(l.frozen, end)
+		}
+	}
+}
+
+// waitThaw returns once neither end is frozen, or with an error when given up.
+func (l *Links) waitThaw(at link, giveUp <-chan struct{}) error {
+	for {
+		l.mu.Lock()
+		thawed, ok := l.frozen[at.from]
+		if !ok {
+			thawed, ok = l.frozen[at.to]
+		}
+		l.mu.Unlock()
+		if !ok {
+			return nil
+		}
+		select {
+		case <-thawed:
+		case <-giveUp:
+			return net.ErrClosed
+		}
+	}
+}
+
 func (l *Links) isCut(at link) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -100,9 +162,12 @@
 }
 
 func (l *Links) add(at link, raw net.Conn) net.Conn {
-	c := &linkConn{Conn: raw, links: l, at: at, closed: make(chan struct{}), silent: make(chan struct{})}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if d := l.delay(at.from, at.to); d > 0 {
+		raw = newDelayedConn(raw, d)
+	}
+	c := &linkConn{Conn: raw, links: l, at: at, closed: make(chan struct{}), silent: make(chan struct{})}
 	if l.conns[at] == nil {
 		l.conns[at] = make(map[*linkConn]struct{})
 	}
@@ -141,6 +206,9 @@
 // Read passes data on; on a silent connection it blocks until a deadline or the close.
 func (c *linkConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if frozen := c.links.waitThaw(c.at, c.closed); frozen != nil {
+		return 0, frozen
+	}
 	select {
 	case <-c.silent:
 		return 0, c.blockRead()
@@ -169,6 +237,9 @@
 
 // Write drops the data of a silent connection.
 func (c *linkConn) Write(b []byte) (int, error) {
+	if frozen := c.links.waitThaw(c.at, c.closed); frozen != nil {
+		return 0, frozen
+	}
 	select {
 	case <-c.silent:
 		return len(b), nil
--- a/nutmegstand/platform.go
+++ b/nutmegstand/platform.go
@@ -34,6 +34,7 @@
 	ReadsPerSecond  float64       // unlimited when zero
 	Heartbeat       time.Duration // of idle watches; DefaultHeartbeat when zero
 	Seed            uint64        // of the random faults
+	Rewindable      string        // kind of objects whose earlier states are kept for Rewind
 }
 
 // PlatformFaults are the faults of the platform that can be switched.
@@ -44,6 +45,8 @@
 	SilentWatch  bool          `json:"silent_watch"`  // watches stay open and say nothing
 	WritesFail   bool          `json:"writes_fail"`   // reads work, writes fail without effect
 	LostRequests float64       `json:"lost_requests"` // share of writes that fail without effect or answer
+	Unchecked    string        `json:"unchecked"`     // kind of objects whose conditional writes are not checked
+	LiveLag      time.Duration `json:"live_lag"`      // age of the live list that is served
 }
 
 // PlatformRecord counts what the platform has done.
@@ -76,6 +79,8 @@
 	changed chan struct{} // closed at each write
 	faults  PlatformFaults
 	record  PlatformRecord
+	past    map[string][]map[string]item // states of a kind before each write, for Rewind
+	live    []liveState
 }
 
 // DefaultHeartbeat is the time between two bookmarks of an idle watch.
@@ -94,6 +99,7 @@
 		reads:   limiter(cfg.ReadsPerSecond),
 		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		objects: make(map[string]map[string]item),
+		past:    make(map[string][]map[string]item),
 		changed: make(chan struct{}),
 	}
 }
@@ -112,7 +118,11 @@
 	r.Get("/v1/objects/{kind}/{name}", p.get)
 	r.Put("/v1/objects/{kind}/{name}", p.put)
 	r.Delete("/v1/objects/{kind}/{name}", p.remove)
+	r.Get("/v1/live", p.getLive)
+	r.Put("/live", p.putLive)
 	r.Put("/faults", p.putFaults)
+	r.Post("/rewind/{kind}", p.postRewind)
+	r.Put("/edit", p.putEdit)
 	r.Get("/records", p.getRecords)
 	return r
 }
@@ -229,17 +239,23 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	present, exists := p.objects[kind][name]
-	if !allowed(r, present.Version, exists) {
+	if p.faults.Unchecked != kind && !allowed(r, present.Version, exists) {
 		p.record.Conflicts++
 		return 0, false
 	}
+	return p.write(kind, name, value), true
+}
+
+// write stores a value under the next version. The lock is held.
+func (p *Platform) write(kind, name string, value []byte) uint64 {
+	p.remember(kind)
 	p.version++
 	if p.objects[kind] == nil {
 		p.objects[kind] = make(map[string]item)
 	}
 	p.objects[kind][name] = item{Name: name, Version: p.version, Value: value}
 	p.signal()
-	return p.version, true
+	return p.version
 }
 
 func (p *Platform) signal() {
--- a/nutmegtrace/call.go
+++ b/nutmegtrace/call.go
@@ -105,7 +105,7 @@
 	if key != "" {
 		req.Header.Set("Idempotency-Key", key)
 	}
-	return f.client.Do(req)
+	return f.caller.Do(req)
 }
 
 func readRefusal(body io.Reader, result *Result) error {
--- /dev/null
+++ b/nutmegtrace/decode.go
@@ -0,0 +1,166 @@
+package nutmegtrace
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+	"github.com/pelletier/go-toml/v2/unstable"
+
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+)
+
+// FileError lists all faults of a trace file.
+type FileError struct {
+	Faults []nutmegconf.Fault
+}
+
+// Error lists the faults, a line each.
+func (e *FileError) Error() string {
+	lines := make([]string, 0, len(e.Faults))
+	for _, f := range e.Faults {
+		lines = append(lines, f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// ReadFile reads and checks a trace file as a whole.
+func ReadFile(file string) (Trace, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return Trace{}, fmt.Errorf("trace could not be read; name an existing file: %w", err)
+	}
+	return Parse(file, data)
+}
+
+// Parse decodes and checks a trace. An error is of type *FileError.
+func Parse(file string, data []byte) (Trace, error) {
+	var t Trace
+	c := checker{file: file, lines: keyLines(data)}
+	decoder := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+	if err := decoder.Decode(&t); err != nil && !c.unknownKeys(err) {
+		c.decodeFault(err)
+		return t, &FileError{Faults: c.faults}
+	}
+	for n := range t.Steps {
+		t.Steps[n].line = c.lines[fmt.Sprintf("step.%d", n)]
+	}
+	t.applyDeployment()
+	c.check(t)
+	if len(c.faults) > 0 {
+		return t, &FileError{Faults: c.faults}
+	}
+	return t, nil
+}
+
+// keyLines maps each key and each element of an array of tables, for example
+// "step.2" and "step.2.do", to its line.
+func keyLines(data []byte) map[string]int {
+	lines := make(map[string]int)
+	counts := make(map[string]int)
+	prefix := ""
+	var p unstable.Parser
+	p.Reset(data)
+	for p.NextExpression() {
+		e := p.Expression()
+		key, line := keyOf(&p, e)
+		switch e.Kind {
+		case unstable.ArrayTable:
+			prefix = fmt.Sprintf("%s.%d", key, counts[key])
+			counts[key]++
+			lines[prefix] = line
+		case unstable.Table:
+			prefix = key
+			lines[prefix] = line
+		case unstable.KeyValue:
+			lines[join(prefix, key)] = line
+		}
+	}
+	return lines
+}
+
+func keyOf(p *unstable.Parser, e *unstable.Node) (string, int) {
+	if e.Kind != unstable.ArrayTable && e.Kind != unstable.Table && e.Kind != unstable.KeyValue {
+		return "", 0
+	}
+	var parts []string
+	line := 0
+	for it := e.Key(); it.Next(); {
+		node := it.Node()
+		parts = append(parts, string(node.Data))
+		if line == 0 {
+			line = p.Shape(p.Range(node.Data)).Start.Line
+		}
+	}
+	return strings.Join(parts, "."), line
+}
+
+func join(prefix, key string) string {
+	if prefix == "" {
+		return key
+	}
+	return prefix + "." + key
+}
+
+// checker gathers the faults of a trace.
+type checker struct {
+	file   string
+	lines  map[string]int
+	faults []nutmegconf.Fault
+}
+
+// fault notes a fault at the line of a key, or of its table where the key is missing.
+func (c *checker) fault(key, format string, args ...any) {
+	line, ok := c.lines[key]
+	for table := key; !ok; {
+		dot := strings.LastIndex(table, ".")
+		if dot < 0 {
+			break
+		}
+		table = table[:dot]
+		line, ok = c.lines[table]
+	}
+	c.faults = append(c.faults, nutmegconf.Fault{File: c.file, Line: line, Key: key, Detail: fmt.Sprintf(format, args...)})
+}
+
+// unknownKeys notes the unknown keys and reports whether err is about them alone.
+func (c *checker) unknownKeys(err error) bool {
+	var strict *toml.StrictMissingError
+	if !errors.As(err, &strict) {
+		return false
+	}
+	for _, unknown := range strict.Errors {
+		line, _ := unknown.Position()
+		c.faults = append(c.faults, nutmegconf.Fault{
+			File: c.file, Line: line, Key: strings.Join(unknown.Key(), "."), Detail: "the key is unknown; see docs/TRACES.md",
+		})
+	}
+	return true
+}
+
+func (c *checker) decodeFault(err error) {
+	fault := nutmegconf.Fault{File: c.file, Detail: err.Error()}
+	var decode *toml.DecodeError
+	if errors.As(err, &decode) {
+		fault.Line, _ = decode.Position()
+		fault.Key = strings.Join(decode.Key(), ".")
+	}
+	c.faults = append(c.faults, fault)
+}
+
+// intents turns the tables of an intend step into intents.
+func (s Step) intents() ([]nutmegconf.Intent, error) {
+	raw, err := json.Marshal(s.Intents)
+	if err != nil {
+		return nil, err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(raw))
+	decoder.DisallowUnknownFields()
+	var intents []nutmegconf.Intent
+	err = decoder.Decode(&intents)
+	return intents, err
+}
--- /dev/null
+++ b/nutmegtrace/decode_test.go
@@ -0,0 +1,103 @@
+package nutmegtrace
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const faultyTrace = `name = "faulty"
+colour = "blue"
+
+[fleet]
+instances = 2
+engines = 1
+
+[[owner]]
+name = "kaca"
+tokens = 10
+
+[[workspace]]
+name = "rack"
+owner = "nobody"
+
+[[step]]
+at = "1s"
+do = "dance"
+
+[[step]]
+do = "chat"
+instance = 7
+workspace = "rack"
+max_tokens = 5
+
+[[step]]
+do = "cut"
+from = "instance:0"
+to = "moon"
+for = "2s"
+
+[[step]]
+do = "retire_upstreams"
+upstreams = ["engine-9"]
+for = "1s"
+
+[[load]]
+workload = "poem"
+workspace = "rack"
+rate = -1
+for = "1s"
+
+[outcome]
+overspend = 0
+`
+
+func TestParseListsAllFaultsWithLines(t *testing.T) {
+	_, err := Parse("faulty.toml", []byte(faultyTrace))
+	var faults *FileError
+	if !errors.As(err, &faults) {
+		t.Fatalf("error is %v; want a *FileError", err)
+	}
+	var got []string
+	for _, f := range faults.Faults {
+		got = append(got, fmt.Sprintf("%d %s", f.Line, f.Key))
+	}
+	want := []string{
+		"2 colour", "14 workspace.0.owner", "18 step.0.do", "22 step.1.instance", "29 step.2.to",
+		"35 step.3.for", "34 step.3.upstreams", "38 load.0.workload", "40 load.0.rate", "44 outcome.overspend",
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("faults (-want +got):\n%s", diff)
+	}
+}
+
+func TestParseNamesTheLineOfASyntaxOrTypeFault(t *testing.T) {
+	for text, line := range map[string]int{
+		"name = \"a\"\n[[step]]\nat = \"soon\"\n":      3,
+		"name = \"a\"\n\nname == 3\n":                  3,
+		"name = \"a\"\n[fleet]\ninstances = \"two\"\n": 3,
+	} {
+		_, err := Parse("faulty.toml", []byte(text))
+		var faults *FileError
+		if !errors.As(err, &faults) || len(faults.Faults) != 1 || faults.Faults[0].Line != line {
+			t.Errorf("faults of %q are %v; want one at line %d", text, err, line)
+		}
+	}
+}
+
+func TestScheduleIsTheSameForASeed(t *testing.T) {
+	trace, err := Soak(SoakConfig{Seed: 5, Length: 2e9})
+	if err != nil {
+		t.Fatal(err)
+	}
+	first, again, other := trace.Schedule(9, 1), trace.Schedule(9, 1), trace.Schedule(10, 1)
+	exported := cmp.AllowUnexported(Step{})
+	if diff := cmp.Diff(first, again, exported); diff != "" {
+		t.Errorf("schedules of one seed differ:\n%s", diff)
+	}
+	if cmp.Equal(first, other, exported) {
+		t.Error("schedules of two seeds are the same")
+	}
+}
--- a/nutmegtrace/fleet.go
+++ b/nutmegtrace/fleet.go
@@ -3,26 +3,27 @@
 //
 // # Usage
 //
-//	fleet, err := nutmegtrace.NewFleet(nutmegtrace.FleetConfig{Instances: 2, Engines: 2})
+//	trace, err := nutmegtrace.ReadFile("traces/demo.toml")
+//	fleet, err := nutmegtrace.NewFleet(trace.FleetConfig())
 //	defer fleet.Close()
-//	trace, err := nutmegtrace.Load("traces/demo.toml")
-//	measures, err := nutmegtrace.Replay(ctx, fleet, trace)
-//	failures := measures.Check(trace.Outcome)
+//	report, err := nutmegtrace.Replay(ctx, nutmegtrace.ReplayConfig{Fleet: fleet}, trace)
+//	failures := trace.Check(report.Measures)
 //
 // Fleet embeds the stand-ins and the instances in one process on loopback.
+// Target reaches a fleet of separate processes by address.
 package nutmegtrace
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/BurntSushi/toml"
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
@@ -32,13 +33,6 @@
 	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
-const (
-	operatorKey  = "embedded-operator-key"
-	peerKey      = "embedded-peer-key"
-	readyTimeout = 10 * time.Second
-	pollInterval = 5 * time.Millisecond
-)
-
 // FleetConfig configures an embedded fleet.
 type FleetConfig struct {
 	Instances      int
@@ -49,12 +43,17 @@
 	CommitInterval time.Duration
 	Log            io.Writer // discarded when nil
 	Platform       nutmegstand.PlatformConfig
+	FailureDomains []nutmegid.FailureDomain // one when empty; instances and upstreams take turns
+	LinkDelay      time.Duration            // one way between failure domains
+	CallerDelay    time.Duration            // one way between callers and instances
+	Settings       string                   // TOML laid over each instance's settings
 	// Adjust changes the settings of one instance before it is made.
 	Adjust func(s *nutmegconf.Settings)
 }
 
 // Fleet is a platform, upstreams and instances in one process.
 type Fleet struct {
+	*Target
 	cfg      FleetConfig
 	Platform *nutmegstand.Platform
 	Engines  []*nutmegstand.Engine
@@ -62,28 +61,39 @@
 	Links    *nutmegstand.Links
 	Nodes    []*nutmegnode.Node
 
-	platformURL string
-	upstreams   map[nutmegid.Upstream]nutmegconf.UpstreamConfig
-	servers     []*http.Server
-	seeds       []string
-	client      *http.Client
-}
+	servers []*http.Server
 
-// Defaults of an embedded fleet.
-const (
-	DefaultModel                 = nutmegid.Model("drafter")
-	DefaultRoute                 = nutmegid.Route("orders")
-	DefaultLookUp                = nutmegid.Route("stock")
-	DefaultFleetInterval         = 100 * time.Millisecond
-	DefaultFleetTokenTime        = time.Millisecond
-	fleetName                    = "embedded"
-	embeddedDomain               = nutmegid.FailureDomain("loopback")
-	loopback                     = "127.0.0.1:0"
-	embeddedPlatformConnsPerHost = 64
-)
+	placeMu sync.Mutex
+	places  map[string]nutmegid.FailureDomain // of processes and addresses
+}
 
 // NewFleet starts the stand-ins and the instances.
 func NewFleet(cfg FleetConfig) (*Fleet, error) {
+	cfg = fleetDefaults(cfg)
+	f := &Fleet{
+		Target:   NewTarget("", operatorKey),
+		cfg:      cfg,
+		Platform: nutmegstand.NewPlatform(cfg.Platform),
+		Links:    nutmegstand.NewLinks(),
+		places:   make(map[string]nutmegid.FailureDomain),
+	}
+	f.Model = cfg.Model
+	f.Links.SetDelay(f.linkDelay)
+	f.caller = &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: embeddedPlatformConnsPerHost, DialContext: f.Links.Dialer(endCallers),
+	}}
+	if err := f.startStandIns(); err != nil {
+		return nil, errors.Join(err, f.Close())
+	}
+	for range cfg.Instances {
+		if _, err := f.AddNode(); err != nil {
+			return nil, errors.Join(err, f.Close())
+		}
+	}
+	return f, nil
+}
+
+func fleetDefaults(cfg FleetConfig) FleetConfig {
 	if cfg.Model == "" {
 		cfg.Model = DefaultModel
 	}
@@ -96,62 +106,101 @@
 	if cfg.Log == nil {
 		cfg.Log = io.Discard
 	}
-	f := &Fleet{
-		cfg:       cfg,
-		Platform:  nutmegstand.NewPlatform(cfg.Platform),
-		Links:     nutmegstand.NewLinks(),
-		upstreams: make(map[nutmegid.Upstream]nutmegconf.UpstreamConfig),
-		client:    &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: embeddedPlatformConnsPerHost}},
+	if len(cfg.FailureDomains) == 0 {
+		cfg.FailureDomains = []nutmegid.FailureDomain{embeddedDomain}
 	}
-	if err := f.startStandIns(); err != nil {
-		return nil, errors.Join(err, f.Close())
+	return cfg
+}
+
+// FleetConfig sizes an embedded fleet as the trace asks.
+func (t Trace) FleetConfig() FleetConfig {
+	return FleetConfig{
+		Instances: t.Fleet.Instances, Engines: t.Fleet.Engines, Services: t.Fleet.Services,
+		TokenTime:      time.Duration(t.Fleet.TokenTime),
+		FailureDomains: t.Fleet.FailureDomains,
+		LinkDelay:      time.Duration(t.Fleet.LinkDelay),
+		CallerDelay:    time.Duration(t.Fleet.CallerDelay),
+		Settings:       t.Fleet.Settings,
+		Platform: nutmegstand.PlatformConfig{
+			WritesPerSecond: t.Fleet.Writes, ReadsPerSecond: t.Fleet.Reads, Seed: t.Seed, Rewindable: t.rewound(),
+		},
 	}
-	for range cfg.Instances {
-		if _, err := f.AddNode(); err != nil {
-			return nil, errors.Join(err, f.Close())
+}
+
+// rewound is the kind of objects that a step of the trace rewinds.
+func (t Trace) rewound() string {
+	for _, s := range t.Steps {
+		if s.Do == ActionPlatformRewind {
+			return s.Kind
 		}
 	}
-	return f, nil
+	return ""
+}
+
+func (f *Fleet) domain(n int) nutmegid.FailureDomain {
+	return f.cfg.FailureDomains[n%len(f.cfg.FailureDomains)]
+}
+
+func (f *Fleet) place(end string, domain nutmegid.FailureDomain) {
+	f.placeMu.Lock()
+	defer f.placeMu.Unlock()
+	f.places[end] = domain
+}
+
+// linkDelay is the one-way delay of a connection. The platform answers from
+// every failure domain.
+func (f *Fleet) linkDelay(from, to string) time.Duration {
+	f.placeMu.Lock()
+	defer f.placeMu.Unlock()
+	if from == endCallers {
+		return f.cfg.CallerDelay
+	}
+	a, b := f.places[from], f.places[to]
+	if a == "" || b == "" || a == b {
+		return 0
+	}
+	return f.cfg.LinkDelay
 }
 
 func (f *Fleet) startStandIns() error {
 	var err error
-	if f.platformURL, err = f.listen(f.Platform.Handler()); err != nil {
+	if f.PlatformURL, err = f.listen(f.Platform.Handler(), ""); err != nil {
 		return err
 	}
 	for i := range f.cfg.Engines {
 		name := fmt.Sprintf("engine-%d", i+1)
 		e := nutmegstand.NewEngine(nutmegstand.EngineConfig{Name: name, TokenTime: f.cfg.TokenTime})
 		f.Engines = append(f.Engines, e)
-		url, err := f.listen(e.Handler())
+		url, err := f.listen(e.Handler(), f.domain(i))
 		if err != nil {
 			return err
 		}
-		f.upstreams[nutmegid.Upstream(name)] = nutmegconf.UpstreamConfig{
-			Kind: nutmegconf.KindEngine, URL: url, FailureDomain: embeddedDomain, Models: []nutmegid.Model{f.cfg.Model},
+		f.Upstreams[nutmegid.Upstream(name)] = nutmegconf.UpstreamConfig{
+			Kind: nutmegconf.KindEngine, URL: url, FailureDomain: f.domain(i), Models: []nutmegid.Model{f.cfg.Model},
 		}
 	}
 	for i := range f.cfg.Services {
 		name := fmt.Sprintf("service-%d", i+1)
 		s := nutmegstand.NewService(nutmegstand.ServiceConfig{Name: name})
 		f.Services = append(f.Services, s)
-		url, err := f.listen(s.Handler())
+		url, err := f.listen(s.Handler(), f.domain(i))
 		if err != nil {
 			return err
 		}
-		f.upstreams[nutmegid.Upstream(name)] = nutmegconf.UpstreamConfig{
-			Kind: nutmegconf.KindService, URL: url, FailureDomain: embeddedDomain,
+		f.Upstreams[nutmegid.Upstream(name)] = nutmegconf.UpstreamConfig{
+			Kind: nutmegconf.KindService, URL: url, FailureDomain: f.domain(i),
 			Routes: []nutmegid.Route{DefaultRoute, DefaultLookUp},
 		}
 	}
 	return nil
 }
 
-func (f *Fleet) listen(h http.Handler) (string, error) {
+func (f *Fleet) listen(h http.Handler, domain nutmegid.FailureDomain) (string, error) {
 	l, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return "", err
 	}
+	f.place(l.Addr().String(), domain)
 	s := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout, ErrorLog: nil}
 	f.servers = append(f.servers, s)
 	go func() { _ = s.Serve(l) }()
@@ -160,38 +209,96 @@
 
 // AddNode starts one more instance.
 func (f *Fleet) AddNode() (*nutmegnode.Node, error) {
+	f.Nodes = append(f.Nodes, nil)
+	slot := len(f.Nodes) - 1
+	if err := f.StartNode(slot); err != nil {
+		f.Nodes = f.Nodes[:slot]
+		return nil, err
+	}
+	return f.Nodes[slot], nil
+}
+
+// StartNode starts a new instance in a slot whose former one has ended.
+func (f *Fleet) StartNode(slot int) error {
 	log := logrus.New()
 	log.SetOutput(f.cfg.Log)
-	name := fmt.Sprintf("instance-%d", len(f.Nodes)+1)
-	settings := f.settings(name)
-	if f.cfg.Adjust != nil {
-		f.cfg.Adjust(&settings)
+	name := instanceName(slot)
+	settings, err := f.settings(slot)
+	if err != nil {
+		return err
 	}
+	f.place(name, f.domain(slot))
 	n, err := nutmegnode.New(nutmegnode.Config{Settings: settings, Log: log, Dial: f.Links.Dialer(name)})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := n.Start(); err != nil {
-		return nil, err
+		return err
 	}
-	f.Nodes = append(f.Nodes, n)
-	f.seeds = append(f.seeds, n.Addresses().Peers)
-	return n, nil
+	f.placeMu.Lock()
+	f.Nodes[slot] = n
+	f.placeMu.Unlock()
+	f.place(n.Addresses().Peers, f.domain(slot))
+	f.SetInstance(slot, InstanceAddress{Callers: n.Addresses().Callers, Operators: n.Addresses().Operators})
+	f.publishLive()
+	return nil
 }
 
-func (f *Fleet) settings(name string) nutmegconf.Settings {
+func instanceName(slot int) string {
+	return fmt.Sprintf("instance-%d", slot+1)
+}
+
+// node returns the instance in a slot; nil where it has ended.
+func (f *Fleet) node(slot int) *nutmegnode.Node {
+	f.placeMu.Lock()
+	defer f.placeMu.Unlock()
+	return f.Nodes[slot]
+}
+
+// settings are those of the instance in a slot, with the running ones as seeds.
+func (f *Fleet) settings(slot int) (nutmegconf.Settings, error) {
 	s := nutmegconf.DefaultSettings()
 	s.Instance = nutmegconf.InstanceSettings{
-		Name:             nutmegid.Instance(name),
-		FailureDomain:    embeddedDomain,
+		Name:             nutmegid.Instance(instanceName(slot)),
+		FailureDomain:    f.domain(slot),
 		Fleet:            fleetName,
 		BootstrapKeyHash: nutmegconf.HashKey(operatorKey),
 	}
 	s.Listen = nutmegconf.ListenSettings{Callers: loopback, Operators: loopback, Peers: loopback}
-	s.Platform.URL = f.platformURL
-	s.Peers = nutmegconf.PeerSettings{Key: peerKey, Seeds: f.seeds}
+	s.Platform.URL = f.PlatformURL
+	s.Peers = nutmegconf.PeerSettings{Key: peerKey}
 	s.Budget.CommitInterval = nutmegconf.Duration(f.cfg.CommitInterval)
-	return s
+	for n := range f.Nodes {
+		if other := f.node(n); other != nil {
+			s.Peers.Seeds = append(s.Peers.Seeds, other.Addresses().Peers)
+		}
+	}
+	if _, err := toml.Decode(f.cfg.Settings, &s); err != nil {
+		return s, fmt.Errorf("settings laid over the fleet's: %w", err)
+	}
+	if f.cfg.Adjust != nil {
+		f.cfg.Adjust(&s)
+	}
+	return s, nil
+}
+
+// publishLive puts the running instances and the upstreams on the platform's list.
+func (f *Fleet) publishLive() {
+	var entries []nutmegstand.LiveEntry
+	for slot := range f.Nodes {
+		if n := f.node(slot); n != nil {
+			entries = append(entries, nutmegstand.LiveEntry{
+				Name: instanceName(slot), Kind: "instance", Address: n.Addresses().Peers, State: nutmegstand.LiveServing,
+			})
+		}
+	}
+	for _, name := range sortedKeys(f.Upstreams) {
+		u := f.Upstreams[name]
+		entries = append(entries, nutmegstand.LiveEntry{
+			Name: string(name), Kind: string(u.Kind), Address: u.URL, State: nutmegstand.LiveServing,
+		})
+	}
+	f.Platform.SetLive(entries)
 }
 
 // Close stops all instances and stand-ins.
@@ -213,6 +320,7 @@
 		_ = s.Close()
 	}
 	f.client.CloseIdleConnections()
+	f.caller.CloseIdleConnections()
 	return failed
 }
 
@@ -235,101 +343,13 @@
 	Tokens nutmegid.Tokens `toml:"tokens"`
 }
 
-// Setup plans and confirms owners, workspaces, budgets, routes and upstreams,
-// and waits until every instance has them in force.
-func (f *Fleet) Setup(ctx context.Context, owners []OwnerSpec, workspaces []WorkspaceSpec) error {
-	intents := []nutmegconf.Intent{
-		{Kind: nutmegconf.IntentAddRoute, Route: DefaultRoute, Rule: nutmegconf.RuleProtected},
-		{Kind: nutmegconf.IntentAddRoute, Route: DefaultLookUp, Rule: nutmegconf.RuleRepeatable},
-	}
-	for _, o := range owners {
-		intents = append(intents,
-			nutmegconf.Intent{Kind: nutmegconf.IntentAddOwner, Owner: o.Name},
-			nutmegconf.Intent{Kind: nutmegconf.IntentAddBudget, Budget: nutmegid.OwnerBudget(o.Name), Tokens: o.Tokens})
-	}
-	for _, w := range workspaces {
-		intents = append(intents,
-			nutmegconf.Intent{
-				Kind: nutmegconf.IntentAddWorkspace, Workspace: w.Name, Owner: w.Owner, Priority: w.Priority,
-				KeyHashes: []string{nutmegconf.HashKey(CallerKey(w.Name))},
-			},
-			nutmegconf.Intent{Kind: nutmegconf.IntentAddBudget, Budget: nutmegid.WorkspaceBudget(w.Name), Tokens: w.Tokens})
-	}
-	for name, u := range f.upstreams {
-		intents = append(intents, nutmegconf.Intent{
-			Kind: nutmegconf.IntentAddUpstream, Upstreams: []nutmegid.Upstream{name}, Upstream: &u,
-		})
-	}
-	revision, err := f.Intend(ctx, 0, intents...)
-	if err != nil {
-		return err
-	}
-	return f.WaitRevision(ctx, revision)
-}
-
-// Intend plans intents at one instance and confirms the plan.
-func (f *Fleet) Intend(ctx context.Context, node int, intents ...nutmegconf.Intent) (nutmegid.Revision, error) {
-	var plan nutmegconf.Plan
-	if err := f.operate(ctx, node, http.MethodPost, "/v1/plans", nutmegnode.PlanRequest{Intents: intents}, &plan); err != nil {
-		return 0, err
-	}
-	var done nutmegnode.Confirmation
-	err := f.operate(ctx, node, http.MethodPost, "/v1/plans/"+string(plan.ID)+"/confirm", nil, &done)
-	return done.Revision, err
-}
-
-// WaitRevision waits until every instance has the revision in force.
-func (f *Fleet) WaitRevision(ctx context.Context, revision nutmegid.Revision) error {
-	for node := range f.Nodes {
-		for {
-			var status nutmegnode.Status
-			if err := f.operate(ctx, node, http.MethodGet, "/v1/status", nil, &status); err != nil {
-				return err
-			}
-			if status.Revision >= revision {
-				break
-			}
-			select {
-			case <-ctx.Done():
-				return fmt.Errorf("instance %d has revision %d, not %d: %w", node+1, status.Revision, revision, ctx.Err())
-			case <-time.After(pollInterval):
-			}
-		}
-	}
-	return nil
-}
-
-// operate calls the operators' API of one instance.
-func (f *Fleet) operate(ctx context.Context, node int, method, path string, body, into any) error {
-	raw, err := json.Marshal(body)
-	if err != nil {
-		return err
-	}
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.Nodes[node].Addresses().Operators+path, bytes.NewReader(raw))
-	if err != nil {
-		return err
-	}
-	req.Header.Set("Authorization", "Bearer "+operatorKey)
-	resp, err := f.client.Do(req)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	answer, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return err
-	}
-	if resp.StatusCode != http.StatusOK {
-		return fmt.Errorf("%s %s answered %s: %s", method, path, resp.Status, answer)
-	}
-	return json.Unmarshal(answer, into)
-}
-
 // TimeLine merges the events of all instances.
 func (f *Fleet) TimeLine(filter nutmegtime.Filter) []nutmegtime.Event {
 	var lists [][]nutmegtime.Event
-	for _, n := range f.Nodes {
-		lists = append(lists, n.Ring().Events(filter))
+	for slot := range f.Nodes {
+		if n := f.node(slot); n != nil {
+			lists = append(lists, n.Ring().Events(filter))
+		}
 	}
 	return nutmegtime.Merge(lists...)
 }
--- /dev/null
+++ b/nutmegtrace/load.go
@@ -0,0 +1,181 @@
+package nutmegtrace
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// Load is an open-loop generator of requests: its arrivals do not wait for
+// answers. Zero sizes come from the workload.
+type Load struct {
+	From      nutmegconf.Duration `toml:"from"`
+	For       nutmegconf.Duration `toml:"for"`
+	Workload  string              `toml:"workload"`
+	Workspace nutmegid.Workspace  `toml:"workspace"`
+	Rate      float64             `toml:"rate"`     // requests a second
+	Arrivals  Arrivals            `toml:"arrivals"` // poisson when empty
+	Sizes     Sizes               `toml:"sizes"`    // log_normal when empty
+	Prompt    int                 `toml:"prompt_bytes"`
+	MaxTokens nutmegid.Tokens     `toml:"max_tokens"`
+	Instance  *int                `toml:"instance"` // any when absent
+}
+
+// Arrivals names the distribution of the gaps between requests.
+type Arrivals string
+
+// The distributions of gaps.
+const (
+	ArrivalsPoisson  Arrivals = "poisson"
+	ArrivalsConstant Arrivals = "constant"
+)
+
+// Sizes names the distribution of prompt and answer sizes around their mean.
+type Sizes string
+
+// The distributions of sizes.
+const (
+	SizesLogNormal Sizes = "log_normal"
+	SizesUniform   Sizes = "uniform"
+	SizesFixed     Sizes = "fixed"
+)
+
+// Workload is one kind of request of the deployments.
+type Workload struct {
+	Do        Action
+	Prompt    int             // bytes, mean
+	MaxTokens nutmegid.Tokens // mean
+	Whole     bool            // callers ask without streaming
+}
+
+const (
+	logNormalSigma  = 0.5 // spread of sizes
+	maxSizeFactor   = 4   // largest size as a multiple of the mean
+	maxLoadRequests = 1_000_000
+)
+
+func (c *checker) checkLoad(key string, t Trace, l Load) {
+	if _, ok := Workloads[l.Workload]; !ok {
+		c.fault(key+".workload", "workload %q does not exist; use one of %v", l.Workload, sortedKeys(Workloads))
+	}
+	if !t.hasWorkspace(l.Workspace) {
+		c.fault(key+".workspace", "workspace %q is not listed; add a [[workspace]] table", l.Workspace)
+	}
+	if l.Rate <= 0 || l.Rate*time.Duration(l.For).Seconds() > maxLoadRequests {
+		c.fault(key+".rate", "rate is %g a second; give a positive rate with at most %d requests", l.Rate, maxLoadRequests)
+	}
+	if l.For <= 0 {
+		c.fault(key+".for", "the load has no length; give for example 30s")
+	}
+	if !slices.Contains([]Arrivals{"", ArrivalsPoisson, ArrivalsConstant}, l.Arrivals) {
+		c.fault(key+".arrivals", "arrivals is %q; use poisson or constant", l.Arrivals)
+	}
+	if !slices.Contains([]Sizes{"", SizesLogNormal, SizesUniform, SizesFixed}, l.Sizes) {
+		c.fault(key+".sizes", "sizes is %q; use log_normal, uniform or fixed", l.Sizes)
+	}
+	if l.Instance != nil && (*l.Instance < AnyInstance || *l.Instance >= t.Fleet.Instances) {
+		c.fault(key+".instance", "instance %d of %d does not exist; count from 0", *l.Instance, t.Fleet.Instances)
+	}
+}
+
+// Schedule returns all steps in order of time: those of the file and those
+// that the loads draw from the seed. Speed divides all times and leaves the
+// number of requests.
+func (t Trace) Schedule(seed uint64, speed float64) []Step {
+	steps := slices.Clone(t.Steps)
+	for n, l := range t.Loads {
+		random := rand.New(rand.NewPCG(seed, uint64(n)))
+		steps = append(steps, l.steps(random, n)...)
+	}
+	for _, s := range t.Steps {
+		if s.For > 0 {
+			end := s
+			end.At, end.end = s.At+s.For, true
+			steps = append(steps, end)
+		}
+	}
+	for n := range steps {
+		steps[n].at = nutmegconf.Duration(float64(steps[n].At) / speed)
+	}
+	slices.SortStableFunc(steps, func(a, b Step) int { return cmp.Compare(a.at, b.at) })
+	return steps
+}
+
+// OnlyLoads returns the trace without its steps, with its loads' rates
+// multiplied and, unless length is zero, all begun at once for that long.
+func (t Trace) OnlyLoads(rate float64, length time.Duration) Trace {
+	t.Steps = nil
+	t.Loads = slices.Clone(t.Loads)
+	for n := range t.Loads {
+		t.Loads[n].Rate *= rate
+		if length > 0 {
+			t.Loads[n].From, t.Loads[n].For = 0, nutmegconf.Duration(length)
+		}
+	}
+	return t
+}
+
+// steps draws the load's requests.
+func (l Load) steps(random *rand.Rand, number int) []Step {
+	w := Workloads[l.Workload]
+	instance := AnyInstance
+	if l.Instance != nil {
+		instance = *l.Instance
+	}
+	var steps []Step
+	end := time.Duration(l.From + l.For)
+	for at := time.Duration(l.From) + l.gap(random); at < end; at += l.gap(random) {
+		n := len(steps)
+		steps = append(steps, Step{
+			At: nutmegconf.Duration(at), Do: w.Do, Instance: instance, Workspace: l.Workspace, Workload: l.Workload,
+			Prompt:    l.prompt(random, w, number, n),
+			MaxTokens: nutmegid.Tokens(l.size(random, cmp.Or(float64(l.MaxTokens), float64(w.MaxTokens)))),
+			Whole:     w.Whole,
+			Key:       fmt.Sprintf("%s-%d-%d", l.Workload, number, n),
+			Body:      fmt.Sprintf(`{"item":"%s-%d-%d"}`, l.Workload, number, n),
+		})
+	}
+	return steps
+}
+
+func (l Load) gap(random *rand.Rand) time.Duration {
+	mean := float64(time.Second) / l.Rate
+	if l.Arrivals == ArrivalsConstant {
+		return time.Duration(mean)
+	}
+	return time.Duration(mean * random.ExpFloat64())
+}
+
+func (l Load) size(random *rand.Rand, mean float64) int64 {
+	factor := 1.0
+	switch l.Sizes {
+	case SizesFixed:
+	case SizesUniform:
+		factor = 2 * random.Float64()
+	default:
+		factor = math.Exp(logNormalSigma*random.NormFloat64() - logNormalSigma*logNormalSigma/2)
+	}
+	return max(1, int64(mean*min(factor, maxSizeFactor)))
+}
+
+// prompt is a text that no other request of the trace has.
+func (l Load) prompt(random *rand.Rand, w Workload, number, n int) string {
+	size := l.size(random, cmp.Or(float64(l.Prompt), float64(w.Prompt)))
+	name := fmt.Sprintf("%s %d/%d ", l.Workload, number, n)
+	return name + strings.Repeat("x", max(0, int(size)-len(name)))
+}
+
+// lasting are the faults that can end by themselves.
+var lasting = []Action{
+	ActionPlatformOutage, ActionPlatformDelay, ActionPlatformLostAnswers, ActionPlatformLostRequests,
+	ActionPlatformWritesFail, ActionPlatformSilentWatch, ActionPlatformUnchecked, ActionStaleLiveList,
+	ActionCut, ActionFreeze, ActionKill, ActionStop,
+	ActionCrashOn, ActionUpstreamSilent, ActionUpstreamRefuse, ActionUpstreamDelay, ActionLoseAnswers,
+}
--- a/nutmegtrace/measures.go
+++ b/nutmegtrace/measures.go
@@ -1,53 +1,76 @@
 package nutmegtrace
 
 import (
+	"encoding/json"
 	"fmt"
-	"maps"
-	"slices"
-
-	"github.com/nutmegwind/nutmegwind/nutmegid"
-	"github.com/nutmegwind/nutmegwind/nutmegledger"
-	"github.com/nutmegwind/nutmegwind/nutmegroute"
+	"io"
+	"text/tabwriter"
 )
 
 // Measures are the counts of one run, judged by the stand-ins' records.
+// docs/TRACES.md says how each is counted. Times are in milliseconds.
 type Measures struct {
-	Requests            int64 `json:"requests"`
-	Answered            int64 `json:"answered"`
-	RefusedNotRun       int64 `json:"refused_not_run"`
-	OverspendTokens     int64 `json:"overspend_tokens"`
-	DoubleBilled        int64 `json:"double_billed"`
-	Unbilled            int64 `json:"unbilled"`
-	CutAnswers          int64 `json:"cut_answers"`
-	WrongAnswers        int64 `json:"wrong_answers"`
-	ProtectedDoubleRuns int64 `json:"protected_double_runs"`
-	NotRunButRan        int64 `json:"not_run_but_ran"`
-	PlatformWrites      int64 `json:"platform_writes"`
-	PlatformReads       int64 `json:"platform_reads"`
+	Requests             int64 `json:"requests"`
+	Answered             int64 `json:"answered"`
+	RefusedNotRun        int64 `json:"refused_not_run"`
+	RefusedOther         int64 `json:"refused_other"` // refused with run yes or unknown
+	Unanswered           int64 `json:"unanswered"`
+	FalseRefusals        int64 `json:"false_refusals"`
+	OverspendTokens      int64 `json:"overspend_tokens"`
+	StrandedTokens       int64 `json:"stranded_tokens"`
+	ServedTokens         int64 `json:"served_tokens"`
+	DoubleBilled         int64 `json:"double_billed"`
+	Unbilled             int64 `json:"unbilled"`
+	MisbilledTokens      int64 `json:"misbilled_tokens"`
+	WrongOwner           int64 `json:"wrong_owner"`
+	CutAnswers           int64 `json:"cut_answers"`
+	WrongAnswers         int64 `json:"wrong_answers"`
+	ProtectedDoubleRuns  int64 `json:"protected_double_runs"`
+	NotRunButRan         int64 `json:"not_run_but_ran"`
+	SentToLeaving        int64 `json:"sent_to_leaving"`
+	Crashes              int64 `json:"crashes"` // of upstreams by requests
+	ConfigReverts        int64 `json:"config_reverts"`
+	ConfigInForceMSMax   int64 `json:"config_in_force_ms_max"`
+	FailedIntents        int64 `json:"failed_intents"`
+	Attempts             int64 `json:"attempts"`
+	Resumes              int64 `json:"resumes"`
+	FirstTokenMSP50      int64 `json:"first_token_ms_p50"`
+	FirstTokenMSP95      int64 `json:"first_token_ms_p95"`
+	FirstTokenMSP99      int64 `json:"first_token_ms_p99"`
+	BetweenTokensMSP95   int64 `json:"between_tokens_ms_p95"`
+	BetweenTokensMSP99   int64 `json:"between_tokens_ms_p99"`
+	LookUpMSP50          int64 `json:"look_up_ms_p50"`
+	LookUpMSP99          int64 `json:"look_up_ms_p99"`
+	OrderMSP50           int64 `json:"order_ms_p50"`
+	OrderMSP99           int64 `json:"order_ms_p99"`
+	PlatformWrites       int64 `json:"platform_writes"`
+	PlatformReads        int64 `json:"platform_reads"`
+	PlatformCallsRefused int64 `json:"platform_calls_refused"`
 }
 
+// counts returns the measures by key.
 func (m Measures) counts() map[string]int64 {
-	return map[string]int64{
-		"requests":              m.Requests,
-		"answered":              m.Answered,
-		"refused_not_run":       m.RefusedNotRun,
-		"overspend_tokens":      m.OverspendTokens,
-		"double_billed":         m.DoubleBilled,
-		"unbilled":              m.Unbilled,
-		"cut_answers":           m.CutAnswers,
-		"wrong_answers":         m.WrongAnswers,
-		"protected_double_runs": m.ProtectedDoubleRuns,
-		"not_run_but_ran":       m.NotRunButRan,
-		"platform_writes":       m.PlatformWrites,
-		"platform_reads":        m.PlatformReads,
+	counts := make(map[string]int64)
+	raw, err := json.Marshal(m)
+	if err == nil {
+		err = json.Unmarshal(raw, &counts)
+	}
+	if err != nil {
+		panic(err) // a struct of integers always converts
 	}
+	return counts
+}
+
+// Counts returns the measures by key.
+func (m Measures) Counts() map[string]int64 {
+	return m.counts()
 }
 
 // Check lists the stated outcomes that the measures do not meet.
 func (m Measures) Check(outcome map[string]int64) []string {
 	counts := m.counts()
 	var failures []string
-	for _, key := range slices.Sorted(maps.Keys(outcome)) {
+	for _, key := range sortedKeys(outcome) {
 		if counts[key] != outcome[key] {
 			failures = append(failures, fmt.Sprintf("%s is %d; the trace states %d", key, counts[key], outcome[key]))
 		}
@@ -55,108 +78,33 @@
 	return failures
 }
 
-// sent is one request of a replay with what its caller saw.
-type sent struct {
-	step   Step
-	result Result
-	err    error
-}
-
-// judge counts the measures from the callers' answers and the stand-ins' records.
-func (f *Fleet) judge(requests []sent, prepaid map[nutmegid.Workspace]nutmegid.Tokens, lines []nutmegledger.Line) Measures {
-	var m Measures
-	ran := f.ranRequests()
-	for _, s := range requests {
-		m.countRequest(s, ran)
-	}
-	m.countLines(requests, lines)
-	m.countOrders(f.orderRuns())
-	for w, spent := range f.spentTokens() {
-		m.OverspendTokens += int64(max(0, spent-prepaid[w]))
-	}
-	record := f.Platform.Record()
-	m.PlatformWrites = record.Writes
-	m.PlatformReads = record.Reads + record.Watches
-	return m
-}
-
-func (m *Measures) countRequest(s sent, ran map[nutmegid.RequestID]bool) {
-	m.Requests++
-	switch {
-	case s.result.Kind != "":
-		if s.result.Run == nutmegroute.RanNo {
-			m.RefusedNotRun++
-			if ran[s.result.Request] {
-				m.NotRunButRan++
-			}
-		}
-	case !s.result.Whole:
-		m.CutAnswers++
-	default:
-		m.Answered++
-		if s.step.Do == ActionChat && s.result.Text != s.step.chat().WantText() {
-			m.WrongAnswers++
-		}
-	}
-}
-
-func (m *Measures) countLines(requests []sent, lines []nutmegledger.Line) {
-	billed := make(map[nutmegid.RequestID]int64)
-	for _, line := range lines {
-		billed[line.Request]++
-	}
-	for _, n := range billed {
-		m.DoubleBilled += n - 1
-	}
-	for _, s := range requests {
-		if s.step.Do == ActionChat && s.result.Whole && billed[s.result.Request] == 0 {
-			m.Unbilled++
-		}
-	}
+// Report is the outcome of one replay.
+type Report struct {
+	Trace    string           `json:"trace"`
+	Seed     uint64           `json:"seed"`
+	Measures Measures         `json:"measures"`
+	Refusals map[string]int64 `json:"refusals"` // by kind, of requests that ended refused
+	Details  []string         `json:"details"`  // the first broken promises, a line each
+	Failures []string         `json:"failures"` // stated outcomes that were not met
 }
 
-func (m *Measures) countOrders(runs map[string]int64) {
-	for _, n := range runs {
-		m.ProtectedDoubleRuns += n - 1
+// Write prints the report as a table.
+func (r Report) Write(out io.Writer) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	_, _ = fmt.Fprintf(w, "trace\t%s\n", r.Trace)
+	_, _ = fmt.Fprintf(w, "seed\t%d\n", r.Seed)
+	counts := r.Measures.counts()
+	for _, key := range sortedKeys(counts) {
+		_, _ = fmt.Fprintf(w, "%s\t%d\n", key, counts[key])
 	}
-}
-
-// ranRequests are the requests that any upstream has run.
-func (f *Fleet) ranRequests() map[nutmegid.RequestID]bool {
-	ran := make(map[nutmegid.RequestID]bool)
-	for _, e := range f.Engines {
-		for _, run := range e.Runs() {
-			ran[nutmegid.RequestID(run.Request)] = true
-		}
+	for _, kind := range sortedKeys(r.Refusals) {
+		_, _ = fmt.Fprintf(w, "refused %s\t%d\n", kind, r.Refusals[kind])
 	}
-	for _, s := range f.Services {
-		for _, call := range s.Calls() {
-			ran[nutmegid.RequestID(call.Request)] = true
-		}
+	for _, detail := range r.Details {
+		_, _ = fmt.Fprintf(w, "detail\t%s\n", detail)
 	}
-	return ran
-}
-
-// spentTokens are the tokens that the engines really ran for each workspace.
-func (f *Fleet) spentTokens() map[nutmegid.Workspace]nutmegid.Tokens {
-	spent := make(map[nutmegid.Workspace]nutmegid.Tokens)
-	for _, e := range f.Engines {
-		for _, run := range e.Runs() {
-			spent[nutmegid.Workspace(run.Workspace)] += nutmegid.Tokens(run.PromptTokens + run.AnswerTokens)
-		}
-	}
-	return spent
-}
-
-// orderRuns counts how often each protected order has run.
-func (f *Fleet) orderRuns() map[string]int64 {
-	runs := make(map[string]int64)
-	for _, s := range f.Services {
-		for _, call := range s.Calls() {
-			if call.Key != "" {
-				runs[call.Key]++
-			}
-		}
+	for _, failure := range r.Failures {
+		_, _ = fmt.Fprintf(w, "FAILED\t%s\n", failure)
 	}
-	return runs
+	return w.Flush()
 }
--- a/nutmegtrace/replay_test.go
+++ b/nutmegtrace/replay_test.go
@@ -33,20 +33,26 @@
 	return f
 }
 
-func TestDemoTraceMeetsItsOutcome(t *testing.T) {
-	ctx := testContext(t)
-	trace, err := Load("../traces/demo.toml")
+// replayFile replays a trace on its own fleet and checks its stated outcome.
+func replayFile(ctx context.Context, t *testing.T, file string) Report {
+	t.Helper()
+	trace, err := ReadFile(file)
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := startFleet(t, FleetConfig{Instances: 2, Engines: 2, Services: 1})
-	measures, err := Replay(ctx, f, trace)
+	report, err := Replay(ctx, ReplayConfig{Fleet: startFleet(t, trace.FleetConfig())}, trace)
 	if err != nil {
 		t.Fatal(err)
 	}
-	if diff := cmp.Diff([]string(nil), measures.Check(trace.Outcome)); diff != "" {
-		t.Errorf("outcome (-want +got):\n%s", diff)
+	if diff := cmp.Diff([]string(nil), report.Failures); diff != "" {
+		t.Errorf("outcome of %s with seed %d (-want +got):\n%s\n%v\n%v", file, report.Seed, diff, report.Refusals, report.Details)
 	}
+	return report
+}
+
+func TestDemoTraceMeetsItsOutcome(t *testing.T) {
+	ctx := testContext(t)
+	replayFile(ctx, t, "../traces/demo.toml")
 }
 
 func TestWholePath(t *testing.T) {
@@ -65,7 +71,8 @@
 	if diff := cmp.Diff(want, result); diff != "" {
 		t.Errorf("answer (-want +got):\n%s", diff)
 	}
-	lines, err := f.waitLedger(ctx, []sent{{step: Step{Do: ActionChat}, result: result}})
+	f.waitLedger(ctx, []*Sent{{Step: Step{Do: ActionChat}, Whole: true, Attempts: []Attempt{{Request: result.Request}}}})
+	lines, err := f.Lines(ctx)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,8 +114,8 @@
 	if diff := cmp.Diff("key_reused", other.Kind); diff != "" {
 		t.Errorf("refusal of another body (-want +got):\n%s", diff)
 	}
-	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
-		t.Errorf("runs (-want +got):\n%s", diff)
+	if calls := f.Services[0].Calls(); len(calls) != 1 {
+		t.Errorf("the service ran %d calls; want 1: %v", len(calls), calls)
 	}
 }
 
--- a/nutmegtrace/trace.go
+++ b/nutmegtrace/trace.go
@@ -1,11 +1,7 @@
 package nutmegtrace
 
 import (
-	"errors"
 	"fmt"
-	"slices"
-
-	"github.com/BurntSushi/toml"
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -14,78 +10,149 @@
 // Action names what a step of a trace does.
 type Action string
 
-// The actions.
+// Requests of callers.
+const (
+	ActionChat   Action = "chat"
+	ActionLookUp Action = "look_up"
+	ActionOrder  Action = "order"
+)
+
+// Acts of operators.
+const (
+	ActionTopUp           Action = "top_up"
+	ActionMoveWorkspace   Action = "move_workspace"
+	ActionRetireUpstreams Action = "retire_upstreams"
+	ActionIntend          Action = "intend"
+)
+
+// Faults of the platform.
+const (
+	ActionPlatformOutage       Action = "platform_outage"
+	ActionPlatformDelay        Action = "platform_delay"
+	ActionPlatformLostAnswers  Action = "platform_lost_answers"
+	ActionPlatformLostRequests Action = "platform_lost_requests"
+	ActionPlatformWritesFail   Action = "platform_writes_fail"
+	ActionPlatformSilentWatch  Action = "platform_silent_watch"
+	ActionPlatformUnchecked    Action = "platform_unchecked"
+	ActionPlatformRewind       Action = "platform_rewind"
+	ActionPlatformEdit         Action = "platform_edit"
+	ActionPlatformHeal         Action = "platform_heal"
+	ActionStaleLiveList        Action = "stale_live_list"
+)
+
+// Faults of links and instances.
+const (
+	ActionCut     Action = "cut"
+	ActionHeal    Action = "heal"
+	ActionSilence Action = "silence"
+	ActionKill    Action = "kill"
+	ActionStop    Action = "stop"
+	ActionStart   Action = "start"
+	ActionReplace Action = "replace"
+	ActionFreeze  Action = "freeze"
+	ActionThaw    Action = "thaw"
+)
+
+// Faults of upstreams.
 const (
-	ActionChat  Action = "chat"
-	ActionOrder Action = "order"
-	ActionTopUp Action = "top_up"
+	ActionCrashOn        Action = "crash_on"
+	ActionUpstreamSilent Action = "upstream_silent"
+	ActionUpstreamRefuse Action = "upstream_refuse"
+	ActionUpstreamDelay  Action = "upstream_delay"
+	ActionLoseAnswers    Action = "lose_answers"
+	ActionUpstreamHeal   Action = "upstream_heal"
+	ActionUpstreamLeave  Action = "upstream_leave"
 )
 
 // Step is one act of a trace at a time after its start.
 type Step struct {
-	At        nutmegconf.Duration `toml:"at"`
-	Do        Action              `toml:"do"`
-	Instance  int                 `toml:"instance"` // from 0
-	Workspace nutmegid.Workspace  `toml:"workspace"`
-	Prompt    string              `toml:"prompt"`
-	MaxTokens nutmegid.Tokens     `toml:"max_tokens"`
-	Key       string              `toml:"key"`
-	Body      string              `toml:"body"`
+	At  nutmegconf.Duration `toml:"at"`
+	For nutmegconf.Duration `toml:"for"` // a fault ends by itself after this time
+	Do  Action              `toml:"do"`
+
+	// Requests.
+	Instance  int                `toml:"instance"` // from 0; AnyInstance picks them in turn
+	Workspace nutmegid.Workspace `toml:"workspace"`
+	Prompt    string             `toml:"prompt"`
+	MaxTokens nutmegid.Tokens    `toml:"max_tokens"`
+	Whole     bool               `toml:"whole"` // asks for the answer without streaming
+	Key       string             `toml:"key"`
+	Body      string             `toml:"body"`
+	Repeat    int                `toml:"repeat"` // sends the step so many times at once; 1 when zero
+	Workload  string             `toml:"workload"`
+
+	// Acts of operators.
 	Budget    nutmegid.BudgetID   `toml:"budget"`
 	Tokens    nutmegid.Tokens     `toml:"tokens"`
-	Repeat    int                 `toml:"repeat"` // sends the step so many times at once; 1 when zero
+	Owner     nutmegid.Owner      `toml:"owner"`
+	Upstreams []nutmegid.Upstream `toml:"upstreams"`
+	Intents   []map[string]any    `toml:"intents"`
+
+	// Faults.
+	From  string              `toml:"from"` // instance:N, callers or all
+	To    string              `toml:"to"`   // instance:N, peers, platform, upstreams or all
+	Delay nutmegconf.Duration `toml:"delay"`
+	Share float64             `toml:"share"` // of calls, from 0 to 1
+	Text  string              `toml:"text"`  // that requests hold for crash_on, or objects for platform_edit
+	Kind  string              `toml:"kind"`  // of objects
+
+	line int
+	at   nutmegconf.Duration // At, compressed
+	end  bool                // ends the fault that Do begins
 }
 
-// FleetSpec sizes the embedded fleet of a trace.
+// AnyInstance lets the balancer choose the instance of a request.
+const AnyInstance = -1
+
+// FleetSpec sizes the embedded fleet of a trace. Zero values come from the deployment.
 type FleetSpec struct {
-	Instances int `toml:"instances"`
-	Engines   int `toml:"engines"`
-	Services  int `toml:"services"`
+	Deployment     string                   `toml:"deployment"`
+	Instances      int                      `toml:"instances"`
+	Engines        int                      `toml:"engines"`
+	Services       int                      `toml:"services"`
+	FailureDomains []nutmegid.FailureDomain `toml:"failure_domains"`
+	TokenTime      nutmegconf.Duration      `toml:"token_time"`
+	LinkDelay      nutmegconf.Duration      `toml:"link_delay"`   // one way between failure domains
+	CallerDelay    nutmegconf.Duration      `toml:"caller_delay"` // one way between callers and instances
+	Writes         float64                  `toml:"writes_per_second"`
+	Reads          float64                  `toml:"reads_per_second"`
+	Settings       string                   `toml:"settings"` // TOML laid over each instance's settings
+}
+
+// CallerSpec tells how callers behave when a request fails.
+type CallerSpec struct {
+	Patience nutmegconf.Duration `toml:"patience"` // until a caller gives a request up
+	Idle     nutmegconf.Duration `toml:"idle"`     // silence after which a caller connects again
 }
 
 // Trace is a recorded trace: a workload, what happens meanwhile and the stated outcome.
 type Trace struct {
 	Name       string           `toml:"name"`
+	Seed       uint64           `toml:"seed"`
 	Fleet      FleetSpec        `toml:"fleet"`
+	Callers    CallerSpec       `toml:"callers"`
 	Owners     []OwnerSpec      `toml:"owner"`
 	Workspaces []WorkspaceSpec  `toml:"workspace"`
+	Loads      []Load           `toml:"load"`
 	Steps      []Step           `toml:"step"`
 	Outcome    map[string]int64 `toml:"outcome"`
+	AtMost     map[string]int64 `toml:"at_most"`
+	AtLeast    map[string]int64 `toml:"at_least"`
 }
 
-// Load reads and checks a trace file.
-func Load(file string) (Trace, error) {
-	var t Trace
-	meta, err := toml.DecodeFile(file, &t)
-	if err != nil {
-		var parse toml.ParseError
-		if errors.As(err, &parse) {
-			return t, fmt.Errorf("%s:%d: %s", file, parse.Position.Line, parse.Message)
-		}
-		return t, fmt.Errorf("trace %q: %w", file, err)
-	}
-	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return t, fmt.Errorf("trace %q has unknown keys %v; see docs/TRACES.md", file, unknown)
-	}
-	return t, t.check(file)
-}
-
-func (t Trace) check(file string) error {
-	actions := []Action{ActionChat, ActionOrder, ActionTopUp}
-	var faults []error
-	for n, s := range t.Steps {
-		if !slices.Contains(actions, s.Do) {
-			faults = append(faults, fmt.Errorf("%s: step %d does %q; use one of %v", file, n+1, s.Do, actions))
-		}
-		if s.Instance < 0 || s.Instance >= t.Fleet.Instances {
-			faults = append(faults, fmt.Errorf("%s: step %d names instance %d of %d; count from 0", file, n+1, s.Instance, t.Fleet.Instances))
+// Check lists the stated outcomes that the measures do not meet.
+func (t Trace) Check(m Measures) []string {
+	counts := m.counts()
+	failures := m.Check(t.Outcome)
+	for _, key := range sortedKeys(t.AtMost) {
+		if counts[key] > t.AtMost[key] {
+			failures = append(failures, fmt.Sprintf("%s is %d; the trace states at most %d", key, counts[key], t.AtMost[key]))
 		}
 	}
-	known := Measures{}.counts()
-	for key := range t.Outcome {
-		if _, ok := known[key]; !ok {
-			faults = append(faults, fmt.Errorf("%s: outcome %q is no measure; see docs/TRACES.md", file, key))
+	for _, key := range sortedKeys(t.AtLeast) {
+		if counts[key] < t.AtLeast[key] {
+			failures = append(failures, fmt.Sprintf("%s is %d; the trace states at least %d", key, counts[key], t.AtLeast[key]))
 		}
 	}
-	return errors.Join(faults...)
+	return failures
 }
