--- a/cmd/nutmegload/compare.go
+++ b/cmd/nutmegload/compare.go
@@ -3,15 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"html/template"
 	"io"
 	"maps"
 	"os"
-	"path/filepath"
 	"slices"
 	"strings"
+	texttemplate "text/template"
 
 	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
 	"github.com/nutmegwind/nutmegwind/nutmegtrace"
@@ -131,10 +132,10 @@
 }
 
 func change(a, b int64) string {
-	switch {
-	case a == b:
+	if a == b {
 		return "same"
-	case a == 0:
+	}
+	if a == 0 {
 		return fmt.Sprintf("%+d", b)
 	}
 	return fmt.Sprintf("%+.0f %%", 100*float64(b-a)/float64(a))
@@ -170,22 +171,17 @@
 {{end}}</table>
 `
 
+// writeComparison writes the report, as HTML or Markdown by its file's ending.
 func writeComparison(file string, sides [2]side, rows []row, plots []string) error {
-	text := markdownReport
-	if strings.HasSuffix(file, ".html") {
-		text = htmlReport
-	}
-	parsed, err := template.New(filepath.Base(file)).Parse(text)
-	if err != nil {
-		return err
-	}
 	out, err := os.Create(file)
 	if err != nil {
 		return err
 	}
-	err = parsed.Execute(out, comparison{A: sides[0].Name, B: sides[1].Name, Rows: rows, Plots: plots})
-	if closed := out.Close(); err == nil {
-		err = closed
+	c := comparison{A: sides[0].Name, B: sides[1].Name, Rows: rows, Plots: plots}
+	if strings.HasSuffix(file, ".html") {
+		err = template.Must(template.New("report").Parse(htmlReport)).Execute(out, c)
+	} else {
+		err = texttemplate.Must(texttemplate.New("report").Parse(markdownReport)).Execute(out, c)
 	}
-	return err
+	return errors.Join(err, out.Close())
 }
