--- a/nutmegstand/engine.go
+++ b/nutmegstand/engine.go
@@ -1,44 +1,77 @@
 package nutmegstand
 
 import (
-	"crypto/sha256"
-	"encoding/hex"
-	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
+	"context"
+	"math/rand/v2"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"time"
-
-	"github.com/go-chi/chi/v5"
-	"github.com/google/uuid"
 )
 
-// EngineConfig configures the engine stand-in.
+// EngineConfig configures the engine stand-in. A step takes TokenTime, plus
+// BatchTime for each running stream, plus PrefillTime for each prompt token
+// computed in it.
 type EngineConfig struct {
-	Name      string
-	TokenTime time.Duration // of one step, which gives every running stream a token
-	MaxBatch  int           // streams that run at once; DefaultMaxBatch when zero
-	MaxQueue  int           // streams that wait; DefaultMaxQueue when zero
+	Name         string
+	TokenTime    time.Duration // DefaultTokenTime when zero
+	BatchTime    time.Duration
+	PrefillTime  time.Duration
+	StepTokens   int64         // prompt tokens of one step; DefaultStepTokens when zero
+	MaxBatch     int           // streams that run at once; DefaultMaxBatch when zero
+	MaxQueue     int           // streams that wait; DefaultMaxQueue when zero
+	CacheBlocks  int           // prefix blocks that the cache holds; DefaultCacheBlocks when zero
+	ReportLag    time.Duration // age of load reports
+	EventLag     time.Duration // age at which cache events are published
+	EventGaps    float64       // share of cache events that are never published
+	RestartTime  time.Duration // after a crash; DefaultRestartTime when zero
+	Fencing      bool          // refuses orders with an old fencing number
+	Weights      *Weights      // where models are loaded from; loads take no time when nil
+	Models       []string      // loaded at the start
+	ImportTime   time.Duration // of each token of imported KV cache
+	Seed         uint64        // of the random gaps
+	OrdersSettle time.Duration // from an order's answer to its effect
 }
 
 // Defaults of the engine stand-in.
 const (
-	DefaultMaxBatch  = 64
-	DefaultMaxQueue  = 256
-	DefaultTokenTime = 2 * time.Millisecond
+	DefaultMaxBatch    = 64
+	DefaultMaxQueue    = 256
+	DefaultTokenTime   = 2 * time.Millisecond
+	DefaultStepTokens  = 2048
+	DefaultCacheBlocks = 512
+	DefaultRestartTime = 300 * time.Millisecond
 
 	defaultMaxTokens = 16
 )
 
+func (cfg EngineConfig) withDefaults() EngineConfig {
+	if cfg.MaxBatch == 0 {
+		cfg.MaxBatch = DefaultMaxBatch
+	}
+	if cfg.MaxQueue == 0 {
+		cfg.MaxQueue = DefaultMaxQueue
+	}
+	if cfg.TokenTime == 0 {
+		cfg.TokenTime = DefaultTokenTime
+	}
+	if cfg.StepTokens == 0 {
+		cfg.StepTokens = DefaultStepTokens
+	}
+	if cfg.CacheBlocks == 0 {
+		cfg.CacheBlocks = DefaultCacheBlocks
+	}
+	if cfg.RestartTime == 0 {
+		cfg.RestartTime = DefaultRestartTime
+	}
+	return cfg
+}
+
 // EngineFaults are the faults of an engine that can be switched.
 type EngineFaults struct {
 	CrashOn string `json:"crash_on"` // requests whose body holds this text end the engine's streams
 	Silent  bool   `json:"silent"`   // open streams say nothing more
 	Refuse  bool   `json:"refuse"`   // new requests are refused as not run
+	Leaving bool   `json:"leaving"`  // load reports say that the engine is leaving
 }
 
 // EngineRun is what an engine did for one request.
@@ -46,60 +79,58 @@
 	Stream       string    `json:"stream"`
 	Request      string    `json:"request"`
 	Workspace    string    `json:"workspace"`
+	Priority     int       `json:"priority"`
 	PromptTokens int64     `json:"prompt_tokens"`
+	CachedTokens int64     `json:"cached_tokens"` // of the prompt, found in the cache
 	AnswerTokens int64     `json:"answer_tokens"`
 	Ended        bool      `json:"ended"`
 	Cancelled    bool      `json:"cancelled"`
 	Crashed      bool      `json:"crashed"`
 	StartedAt    time.Time `json:"started_at"`
-}
-
-type stream struct {
-	run      EngineRun
-	model    string
-	seed     string // of the answer's text
-	max      int64
-	priority int
-	crash    bool
-}
-
-func (s *stream) ended() bool {
-	return s.run.Ended || s.run.Cancelled || s.run.Crashed
+	FirstTokenAt time.Time `json:"first_token_at"`
+	EndedAt      time.Time `json:"ended_at"`
 }
 
 // Engine is a small stand-in of a model engine with continuous batching.
 type Engine struct {
 	cfg  EngineConfig
-	quit chan struct{}
+	ctx  context.Context // ends at Close
+	quit context.CancelFunc
 	done chan struct{}
+	wake chan struct{} // of size 1: there may be work
 
 	mu      sync.Mutex
+	random  *rand.Rand
 	faults  EngineFaults
 	streams map[string]*stream
 	order   []*stream // in order of arrival
 	running []*stream
 	waiting []*stream
 	crashes int
+	downTo  time.Time // end of the restart after a crash
+	hushed  uint64    // connections up to this number say nothing more
+	conns   uint64
 	stepped chan struct{} // closed at each step
+	cache   *prefixCache
+	loads   []loadState
+	models  modelState
 }
 
 // NewEngine returns an engine that steps until Close.
 func NewEngine(cfg EngineConfig) *Engine {
-	if cfg.MaxBatch == 0 {
-		cfg.MaxBatch = DefaultMaxBatch
-	}
-	if cfg.MaxQueue == 0 {
-		cfg.MaxQueue = DefaultMaxQueue
-	}
-	if cfg.TokenTime == 0 {
-		cfg.TokenTime = DefaultTokenTime
-	}
+	cfg = cfg.withDefaults()
+	ctx, cancel := context.WithCancel(context.Background())
 	e := &Engine{
 		cfg:     cfg,
-		quit:    make(chan struct{}),
+		ctx:     ctx,
+		quit:    cancel,
 		done:    make(chan struct{}),
+		wake:    make(chan struct{}, 1),
+		random:  rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
 		streams: make(map[string]*stream),
 		stepped: make(chan struct{}),
+		cache:   newPrefixCache(cfg.CacheBlocks),
+		models:  newModelState(cfg.Models),
 	}
 	go e.loop()
 	return e
@@ -107,22 +138,10 @@
 
 // Close stops the engine.
 func (e *Engine) Close() {
-	close(e.quit)
+	e.quit()
 	<-e.done
 }
 
-// Handler serves the engine's API, /faults and /records.
-func (e *Engine) Handler() http.Handler {
-	r := chi.NewRouter()
-	r.Post("/v1/chat/completions", e.chat)
-	r.Get("/v1/streams/{stream}", e.resume)
-	r.Delete("/v1/streams/{stream}", e.cancel)
-	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	r.Put("/faults", e.putFaults)
-	r.Get("/records", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, e.Runs()) })
-	return r
-}
-
 // SetFaults replaces the faults.
 func (e *Engine) SetFaults(f EngineFaults) {
 	e.mu.Lock()
@@ -130,6 +149,13 @@
 	e.faults = f
 }
 
+// Hush makes all connections that are open now say nothing more; new ones work.
+func (e *Engine) Hush() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.hushed = e.conns
+}
+
 // Runs returns what the engine did, in order of arrival.
 func (e *Engine) Runs() []EngineRun {
 	e.mu.Lock()
@@ -148,282 +174,122 @@
 	return e.crashes
 }
 
+// down says whether the engine restarts after a crash.
+func (e *Engine) down() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Now().Before(e.downTo)
+}
+
+// loop steps while there is work, each step as long as its batch makes it.
 func (e *Engine) loop() {
 	defer close(e.done)
-	ticker := time.NewTicker(e.cfg.TokenTime)
-	defer ticker.Stop()
 	for {
+		span := e.begin()
+		if span == 0 {
+			select {
+			case <-e.ctx.Done():
+				return
+			case <-e.wake:
+				continue
+			}
+		}
+		timer := time.NewTimer(span)
 		select {
-		case <-e.quit:
+		case <-e.ctx.Done():
+			timer.Stop()
 			return
-		case <-ticker.C:
-			e.step()
+		case <-timer.C:
+			e.finish()
 		}
 	}
 }
 
-// step admits waiting streams by priority and gives each running one a token.
-func (e *Engine) step() {
+func (e *Engine) rouse() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// begin admits waiting streams by priority, plans the prompt tokens of the
+// next step and returns how long it takes, 0 without work.
+func (e *Engine) begin() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.admit()
 	if len(e.running) == 0 {
-		return
-	}
-	if slices.ContainsFunc(e.running, func(s *stream) bool { return s.crash }) {
-		e.crashAll()
+		return 0
 	}
+	budget := e.cfg.StepTokens
 	for _, s := range e.running {
-		s.run.AnswerTokens++
-		s.run.Ended = s.run.AnswerTokens >= s.max
+		s.planned = min(s.prompt, budget)
+		budget -= s.planned
 	}
-	e.running = slices.DeleteFunc(e.running, (*stream).ended)
-	close(e.stepped)
-	e.stepped = make(chan struct{})
+	span := e.cfg.TokenTime + time.Duration(len(e.running))*e.cfg.BatchTime
+	return span + time.Duration(e.cfg.StepTokens-budget)*e.cfg.PrefillTime
 }
 
 func (e *Engine) admit() {
-	free := e.cfg.MaxBatch - len(e.running)
-	n := min(free, len(e.waiting))
-	e.running = append(e.running, e.waiting[:n]...)
-	e.waiting = e.waiting[n:]
-}
-
-// crashAll ends every running stream, as a crash of the engine's process does.
-func (e *Engine) crashAll() {
-	e.crashes++
-	for _, s := range e.running {
-		s.run.Crashed = true
+	n := min(e.cfg.MaxBatch-len(e.running), len(e.waiting))
+	for _, s := range e.waiting[:n] {
+		s.run.CachedTokens = min(e.cache.hit(s.blocks)*blockTokens, s.run.PromptTokens)
+		s.prompt = s.run.PromptTokens - s.run.CachedTokens
+		e.running = append(e.running, s)
 	}
-	e.running = nil
-}
-
-// ChatRequest is the part of a chat completion request that engines use.
-type ChatRequest struct {
-	Model     string          `json:"model"`
-	Messages  json.RawMessage `json:"messages"`
-	MaxTokens int64           `json:"max_tokens"`
-	Stream    bool            `json:"stream"`
+	e.waiting = slices.Delete(e.waiting, 0, n)
 }
 
-func (e *Engine) chat(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, 16<<20))
-	if err != nil {
-		http.Error(w, "the body was not read whole", http.StatusBadRequest)
-		return
-	}
-	var req ChatRequest
-	if err := json.Unmarshal(body, &req); err != nil {
-		http.Error(w, "the body is no chat request", http.StatusBadRequest)
-		return
-	}
-	s, ok := e.begin(r, req, body)
-	if !ok {
-		w.Header().Set("X-Not-Run", "1")
-		http.Error(w, "the engine takes no more requests", http.StatusServiceUnavailable)
-		return
-	}
-	w.Header().Set("X-Stream-Id", s.run.Stream)
-	e.send(w, r, s, 0)
-}
-
-func (e *Engine) begin(r *http.Request, req ChatRequest, body []byte) (*stream, bool) {
-	maxTokens := req.MaxTokens
-	if maxTokens <= 0 {
-		maxTokens = defaultMaxTokens
-	}
-	sum := sha256.Sum256(req.Messages)
-	priority, err := strconv.Atoi(r.Header.Get("X-Priority"))
-	if err != nil {
-		priority = 0
-	}
-	s := &stream{
-		run: EngineRun{
-			Stream:       uuid.NewString(),
-			Request:      r.Header.Get("X-Request-Id"),
-			Workspace:    r.Header.Get("X-Workspace"),
-			PromptTokens: PromptTokens(req.Messages),
-			StartedAt:    time.Now(),
-		},
-		model:    req.Model,
-		seed:     hex.EncodeToString(sum[:4]),
-		max:      maxTokens,
-		priority: priority,
-	}
+// finish ends a step: prompts advance, and each stream with a whole prompt has
+// one more token.
+func (e *Engine) finish() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.faults.Refuse || len(e.waiting) >= e.cfg.MaxQueue {
-		return nil, false
-	}
-	s.crash = e.faults.CrashOn != "" && strings.Contains(string(body), e.faults.CrashOn)
-	e.streams[s.run.Stream] = s
-	e.order = append(e.order, s)
-	e.enqueue(s)
-	return s, true
-}
-
-// enqueue keeps the queue ordered by priority, then by arrival.
-func (e *Engine) enqueue(s *stream) {
-	at := slices.IndexFunc(e.waiting, func(other *stream) bool { return other.priority > s.priority })
-	if at < 0 {
-		at = len(e.waiting)
-	}
-	e.waiting = slices.Insert(e.waiting, at, s)
-}
-
-// PromptTokens is the engine's token count of a prompt: one for four bytes.
-func PromptTokens(messages []byte) int64 {
-	return int64(len(messages)+3) / 4
-}
-
-// AnswerToken returns the n-th token's text of the answer to messages.
-func AnswerToken(messages []byte, n int64) string {
-	sum := sha256.Sum256(messages)
-	return tokenText(hex.EncodeToString(sum[:4]), n)
-}
-
-func tokenText(seed string, n int64) string {
-	return fmt.Sprintf("%s-%d ", seed, n)
-}
-
-type chunk struct {
-	ID      string   `json:"id"`
-	Object  string   `json:"object"`
-	Model   string   `json:"model"`
-	Choices []choice `json:"choices"`
-	Usage   *usage   `json:"usage,omitempty"`
-}
-
-type choice struct {
-	Index        int     `json:"index"`
-	Delta        delta   `json:"delta"`
-	FinishReason *string `json:"finish_reason"`
-}
-
-type delta struct {
-	Content string `json:"content,omitempty"`
-}
-
-type usage struct {
-	PromptTokens     int64 `json:"prompt_tokens"`
-	CompletionTokens int64 `json:"completion_tokens"`
-	TotalTokens      int64 `json:"total_tokens"`
-}
-
-// send streams the answer from an offset until its end, a crash or the
-// caller's leaving. A stream goes on when its connection ends.
-func (e *Engine) send(w http.ResponseWriter, r *http.Request, s *stream, offset int64) {
-	w.Header().Set("Content-Type", "text/event-stream")
-	out := http.NewResponseController(w)
-	if out.Flush() != nil {
-		return
+	if slices.ContainsFunc(e.running, func(s *stream) bool { return s.crash }) {
+		e.crashAll()
 	}
-	for {
-		e.mu.Lock()
-		run, silent, stepped := s.run, e.faults.Silent, e.stepped
-		e.mu.Unlock()
-		for ; offset < run.AnswerTokens && !silent; offset++ {
-			if e.writeToken(w, s, offset) != nil {
-				return
-			}
-		}
-		if out.Flush() != nil {
-			return
-		}
-		if run.Crashed {
-			panic(http.ErrAbortHandler)
-		}
-		if (run.Ended || run.Cancelled) && !silent {
-			writeEnd(w, s, run)
-			return
-		}
-		select {
-		case <-stepped:
-		case <-r.Context().Done():
-			return
-		case <-e.quit:
-			return
+	now := time.Now()
+	for _, s := range e.running {
+		s.prompt -= s.planned
+		s.planned = 0
+		if s.prompt == 0 {
+			e.token(s, now)
 		}
 	}
+	e.running = slices.DeleteFunc(e.running, (*stream).ended)
+	e.signal()
 }
 
-func (e *Engine) writeToken(w io.Writer, s *stream, offset int64) error {
-	c := chunk{
-		ID:      s.run.Stream,
-		Object:  "chat.completion.chunk",
-		Model:   s.model,
-		Choices: []choice{{Delta: delta{Content: tokenText(s.seed, offset)}}},
-	}
-	return writeEvent(w, offset+1, c)
-}
-
-// writeEnd sends the finish reason and the usage, then the end mark.
-func writeEnd(w io.Writer, s *stream, run EngineRun) {
-	reason := "length"
-	if run.Cancelled {
-		reason = "abort"
-	}
-	c := chunk{
-		ID:      run.Stream,
-		Object:  "chat.completion.chunk",
-		Model:   s.model,
-		Choices: []choice{{FinishReason: &reason}},
-		Usage: &usage{
-			PromptTokens:     run.PromptTokens,
-			CompletionTokens: run.AnswerTokens,
-			TotalTokens:      run.PromptTokens + run.AnswerTokens,
-		},
-	}
-	if writeEvent(w, run.AnswerTokens+1, c) == nil {
-		_, _ = io.WriteString(w, "data: [DONE]\n\n")
-	}
-}
-
-func writeEvent(w io.Writer, id int64, c chunk) error {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", id, data)
-	return err
-}
-
-// resume streams the rest of an answer after the offset in Last-Event-ID.
-func (e *Engine) resume(w http.ResponseWriter, r *http.Request) {
-	offset, err := strconv.ParseInt(r.Header.Get("Last-Event-ID"), 10, 64)
-	if err != nil || offset < 0 {
-		offset = 0
-	}
-	e.mu.Lock()
-	s, ok := e.streams[chi.URLParam(r, "stream")]
-	e.mu.Unlock()
-	if !ok {
-		http.Error(w, "no such stream", http.StatusNotFound)
-		return
-	}
-	w.Header().Set("X-Stream-Id", s.run.Stream)
-	e.send(w, r, s, offset)
+func (e *Engine) signal() {
+	close(e.stepped)
+	e.stepped = make(chan struct{})
 }
 
-func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	s, ok := e.streams[chi.URLParam(r, "stream")]
-	if !ok {
-		http.Error(w, "no such stream", http.StatusNotFound)
-		return
+func (e *Engine) token(s *stream, now time.Time) {
+	if s.run.AnswerTokens == 0 {
+		s.run.FirstTokenAt = now
+		close(s.first)
+		e.store(s.blocks, now)
 	}
-	if !s.ended() {
-		s.run.Cancelled = true
-		e.running = slices.DeleteFunc(e.running, (*stream).ended)
-		e.waiting = slices.DeleteFunc(e.waiting, (*stream).ended)
+	s.run.AnswerTokens++
+	if s.run.AnswerTokens >= s.max {
+		s.run.Ended = true
+		s.end(now)
 	}
-	writeJSON(w, s.run)
 }
 
-func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
-	var faults EngineFaults
-	if readJSON(w, r, &faults) {
-		e.SetFaults(faults)
+// crashAll ends every stream, as a crash of the engine's process does: it
+// forgets them and its cache, and is down for its restart time.
+func (e *Engine) crashAll() {
+	e.crashes++
+	now := time.Now()
+	e.downTo = now.Add(e.cfg.RestartTime)
+	for _, s := range slices.Concat(e.running, e.waiting) {
+		s.run.Crashed = true
+		s.end(now)
 	}
+	e.running = nil
+	e.waiting = nil
+	e.streams = make(map[string]*stream)
+	e.cache = newPrefixCache(e.cfg.CacheBlocks)
 }
