--- a/nutmegroute/candidate.go
+++ b/nutmegroute/candidate.go
@@ -25,6 +25,8 @@
 	othersPending atomic.Int64 // prompt tokens of other instances at the last report
 	reportedAt    atomic.Int64 // moment when the report was taken; 0 before the first
 
+	speed speed
+
 	leaving      atomic.Bool
 	ejectedUntil atomic.Int64 // moment
 	warmFrom     atomic.Int64 // moment when a slow start began; 0 without one
@@ -98,12 +100,25 @@
 	return float64(c.pending.Load()) + c.aged(c.othersPending.Load(), now)
 }
 
+// work estimates what comes before the first token of ask, in prompt tokens:
+// prompts that wait, the part of its own that is not cached, the streams that
+// lengthen each step, and those beyond the upstream's slots.
+func (c *Candidate) work(ask *Ask, cached int64, now moment) float64 {
+	load := c.load(now)
+	own := float64(max(ask.PromptTokens-cached, 0))
+	queued := max(load+1-float64(c.Slots()), 0)
+	return c.pendingTokens(now) + own + load*streamWeight + queued*queuedWeight
+}
+
 func (c *Candidate) aged(reported int64, now moment) float64 {
 	if reported == 0 {
 		return 0
 	}
-	age := float64(int64(now) - c.reportedAt.Load())
-	return float64(reported) * math.Exp2(-max(age, 0)/float64(reportHalfLife))
+	age := int64(now) - c.reportedAt.Load() - int64(reportFresh)
+	if age <= 0 {
+		return float64(reported)
+	}
+	return float64(reported) * math.Exp2(-float64(age)/float64(reportHalfLife))
 }
 
 func avoided(u nutmegid.Upstream, avoid []nutmegid.Upstream) bool {
--- a/nutmegroute/chooser.go
+++ b/nutmegroute/chooser.go
@@ -1,14 +1,81 @@
 package nutmegroute
 
 import (
+	"cmp"
 	"math/rand/v2"
+	"slices"
 	"sync"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Set is the upstreams of one model or route that an instance chooses among.
+// Some are quiet: they take no batch plans, whose long prompts would delay
+// each step, and urgent requests go to them first.
 type Set struct {
 	Members []*Candidate
+
+	quiet   []*Candidate
+	busy    []*Candidate
+	isQuiet map[*Candidate]bool
 	index   *prefixIndex
+	speed   *ratio // of all members
+	owners  int    // instances that share each member
+}
+
+// newSet takes the members that an instance uses and all upstreams of the lane,
+// by which every instance finds the same ones quiet.
+func newSet(members, all []*Candidate, index *prefixIndex, speed *ratio) *Set {
+	s := &Set{Members: members, index: index, speed: speed, isQuiet: quietOnes(all)}
+	for _, c := range members {
+		if s.isQuiet[c] {
+			s.quiet = append(s.quiet, c)
+			continue
+		}
+		s.busy = append(s.busy, c)
+	}
+	return s
+}
+
+// quietOnes takes the share of candidates whose names hash lowest.
+func quietOnes(all []*Candidate) map[*Candidate]bool {
+	byHash := slices.Clone(all)
+	slices.SortFunc(byHash, func(a, b *Candidate) int {
+		return cmp.Compare(xxhash.Sum64String(string(a.Upstream)), xxhash.Sum64String(string(b.Upstream)))
+	})
+	quiet := make(map[*Candidate]bool)
+	for _, c := range byHash[:int(quietShare*float64(len(all)))] {
+		quiet[c] = true
+	}
+	return quiet
+}
+
+// meant returns the candidates that requests of a priority go to first.
+func (s *Set) meant(p Priority) []*Candidate {
+	switch {
+	case p >= PriorityBatch && len(s.busy) > 0:
+		return s.busy
+	case p <= PriorityLookUp && len(s.quiet) > 0:
+		return s.quiet
+	}
+	return s.Members
+}
+
+// misplaced says whether requests of a priority rather go elsewhere.
+func (s *Set) misplaced(c *Candidate, p Priority) bool {
+	switch {
+	case p >= PriorityBatch:
+		return s.isQuiet[c] && len(s.busy) > 0
+	case p <= PriorityLookUp:
+		return !s.isQuiet[c] && len(s.quiet) > 0
+	}
+	return false
+}
+
+// work estimates what comes before the first token of ask at c.
+func (s *Set) work(c *Candidate, ask *Ask, now moment) float64 {
+	holders, depth := s.index.find(ask.Prefix)
+	return c.work(ask, holders.cached(c, depth), now)
 }
 
 // Chooser picks one of the usable candidates of a set, nil where there is none.
@@ -43,35 +110,59 @@
 	return c.usable(now) && !avoided(c.Upstream, ask.Avoid)
 }
 
-// random returns a random eligible candidate, nil where there is none.
+// random returns a random eligible candidate among those that are meant for
+// the priority, else among all, nil where there is none.
 func (s *Set) random(from *source, ask *Ask, now moment) *Candidate {
-	if len(s.Members) == 0 {
+	if c := s.draw(s.meant(ask.Priority), from, ask, now); c != nil {
+		return c
+	}
+	return s.draw(s.Members, from, ask, now)
+}
+
+// second draws the other choice: from all members where the first, one of those
+// meant for the priority, is nearly full; a quiet one for a steady request.
+func (s *Set) second(first *Candidate, from *source, ask *Ask, now moment) *Candidate {
+	if first.load(now) >= fullShare*float64(first.Slots()) {
+		return s.draw(s.Members, from, ask, now)
+	}
+	if ask.Priority == PrioritySteady && !s.isQuiet[first] {
+		if c := s.draw(s.quiet, from, ask, now); c != nil {
+			return c
+		}
+	}
+	return s.random(from, ask, now)
+}
+
+func (s *Set) draw(members []*Candidate, from *source, ask *Ask, now moment) *Candidate {
+	if len(members) == 0 {
 		return nil
 	}
 	at := 0
 	for range randomTries {
-		at = from.intN(len(s.Members))
-		if c := s.Members[at]; s.eligible(c, ask, now) {
+		at = from.intN(len(members))
+		if c := members[at]; s.eligible(c, ask, now) {
 			return c
 		}
 	}
-	for i := range s.Members {
-		if c := s.Members[(at+i)%len(s.Members)]; s.eligible(c, ask, now) {
+	for i := range members {
+		if c := members[(at+i)%len(members)]; s.eligible(c, ask, now) {
 			return c
 		}
 	}
 	return nil
 }
 
-// capacity is the number of streams that all members run at once.
-func (s *Set) capacity() int64 {
-	var sum int64
+// capacity is what all members run at once and what of it others use.
+func (s *Set) capacity(now moment) Capacity {
+	total := Capacity{Owners: s.owners}
 	for _, c := range s.Members {
-		if !c.leaving.Load() {
-			sum += c.Slots()
+		if c.leaving.Load() {
+			continue
 		}
+		total.Slots += c.Slots()
+		total.Others += int64(c.aged(c.others.Load(), now))
 	}
-	return sum
+	return total
 }
 
 // source is a seeded random source for concurrent use.
@@ -144,18 +235,11 @@
 // first token.
 type TwoChoices struct {
 	source *source
-	weight Weights
-}
-
-// Weights are the costs that an estimate is made of, in prompt tokens.
-type Weights struct {
-	Stream float64 // a running stream, which lengthens each step
-	Queued float64 // a stream beyond the upstream's slots
 }
 
 // NewTwoChoices returns a chooser with a seeded random source.
 func NewTwoChoices(seed uint64) *TwoChoices {
-	return &TwoChoices{source: newSource(seed), weight: Weights{Stream: streamWeight, Queued: queuedWeight}}
+	return &TwoChoices{source: newSource(seed)}
 }
 
 // Choose implements Chooser.
@@ -166,12 +250,12 @@
 	}
 	holders, depth := set.index.find(ask.Prefix)
 	score := t.score(best, ask, holders.cached(best, depth), now)
-	other := set.random(t.source, ask, now)
+	other := set.second(best, t.source, ask, now)
 	if s := t.score(other, ask, holders.cached(other, depth), now); s < score {
 		best, score = other, s
 	}
 	for _, c := range holders.list[:holders.n] {
-		if !set.eligible(c, ask, now) {
+		if !set.eligible(c, ask, now) || set.misplaced(c, ask.Priority) {
 			continue
 		}
 		if s := t.score(c, ask, depth*blockTokens, now); s < score {
@@ -181,11 +265,7 @@
 	return best
 }
 
-// score estimates the wait for the first token in prompt tokens.
+// score estimates the relative wait for the first token.
 func (t *TwoChoices) score(c *Candidate, ask *Ask, cached int64, now moment) float64 {
-	load := c.load(now)
-	own := float64(max(ask.PromptTokens-cached, 0))
-	queued := max(load+1-float64(c.Slots()), 0)
-	score := c.pendingTokens(now) + own + load*t.weight.Stream + queued*t.weight.Queued
-	return score / c.warmth(now)
+	return c.work(ask, cached, now) * c.speed.slowness() / c.warmth(now)
 }
--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -63,15 +63,20 @@
 	// DefaultServiceSlots are the calls that a plain service takes at once.
 	DefaultServiceSlots = 256
 
-	minOwners   = 2 // instances that use an upstream, at least
+	quietShare  = 0.4 // of the upstreams of a model take no batch plans
+	fullShare   = 0.9 // of its slots above which a quiet upstream is compared with others
+	minOwners   = 2   // instances that use an upstream, at least
 	rankMix     = 0x9e3779b97f4a7c15
 	randomTries = 4
 
-	streamWeight = 16.0  // prompt tokens
-	queuedWeight = 512.0 // prompt tokens
+	streamWeight = 16.0   // prompt tokens
+	queuedWeight = 4096.0 // prompt tokens
+	speedMemory  = 0.99   // weight of past first tokens at a new one
+	maxSlowness  = 4.0
 )
 
 const (
+	reportFresh    = time.Second // age up to which a report counts in full
 	reportHalfLife = 2 * time.Second
 	historySize    = 32
 	historyStep    = 50 * time.Millisecond
--- a/nutmegroute/leaving.go
+++ b/nutmegroute/leaving.go
@@ -100,6 +100,6 @@
 		}
 	}
 	for _, l := range p.lanes {
-		l.queue.SetCapacity(l.set.capacity())
+		l.queue.SetCapacity(l.set.capacity(p.now()))
 	}
 }
--- a/nutmegroute/pool.go
+++ b/nutmegroute/pool.go
@@ -216,14 +216,15 @@
 }
 
 func (p *Pool) lane(key laneKey, candidates []*Candidate) *lane {
-	mine := p.fleet.subset(p.cfg.Instance, candidates, p.cfg.Subset)
+	mine, owners := p.fleet.subset(p.cfg.Instance, candidates, p.cfg.Subset)
 	old, ok := p.lanes[key]
 	if !ok {
-		set := &Set{Members: mine, index: newPrefixIndex()}
-		return &lane{set: set, queue: NewQueue(p.cfg.Queue, set.capacity())}
+		set := newSet(mine, candidates, newPrefixIndex(), &ratio{})
+		set.owners = owners
+		return &lane{set: set, queue: NewQueue(p.cfg.Queue, set.capacity(p.now()))}
 	}
-	set := &Set{Members: mine, index: old.set.index}
-	old.queue.SetCapacity(set.capacity())
+	set := newSet(mine, candidates, old.set.index, old.set.speed)
+	set.owners = owners
 	return &lane{set: set, queue: old.queue}
 }
 
@@ -262,6 +263,7 @@
 	candidate *Candidate
 	ask       Ask
 	sentAt    moment
+	work      float64 // estimated before the first token
 	started   atomic.Bool
 	done      atomic.Bool
 }
@@ -304,6 +306,7 @@
 	k.Upstream = c.Upstream
 	k.URL = c.URL
 	k.sentAt = now
+	k.work = k.lane.set.work(c, &k.ask, now)
 	c.begin(k.ask.PromptTokens, now)
 	k.lane.set.index.add(k.ask.Prefix, c)
 	return nil
@@ -315,6 +318,7 @@
 		return
 	}
 	k.candidate.answered(k.ask.PromptTokens)
+	k.candidate.speed.note(k.lane.set.speed, time.Duration(k.pool.now()-k.sentAt), k.work)
 }
 
 // Done gives the place free and notes how the attempt ended: err is nil after
@@ -323,7 +327,9 @@
 	if !k.done.CompareAndSwap(false, true) {
 		return
 	}
-	k.FirstToken()
+	if k.started.CompareAndSwap(false, true) {
+		k.candidate.answered(k.ask.PromptTokens)
+	}
 	k.candidate.end()
 	k.lane.queue.Leave(k.ask.Priority)
 	k.pool.judge(k.candidate, k.lane.set, err)
--- a/nutmegroute/pool_test.go
+++ b/nutmegroute/pool_test.go
@@ -34,6 +34,7 @@
 func mustPick(t *testing.T, p *Pool, ask Ask) *Pick {
 	t.Helper()
 	ask.Model = testModel
+	ask.Priority = PrioritySteady
 	k, err := p.Pick(t.Context(), ask)
 	if err != nil {
 		t.Fatal(err)
@@ -181,6 +182,36 @@
 	}
 }
 
+func TestUrgentRequestsOverflowQuietUpstreams(t *testing.T) {
+	p := newTestPool(5)
+	used := make(map[nutmegid.Upstream]int)
+	for range 5 * DefaultEngineSlots * 9 / 10 {
+		k, err := p.Pick(t.Context(), Ask{Model: testModel, Priority: PriorityCheck})
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[k.Upstream]++
+	}
+	if len(used) != 5 {
+		t.Errorf("%d upstreams got urgent requests; want all 5 once the quiet ones are nearly full: %v", len(used), used)
+	}
+}
+
+func TestBatchPlansKeepOffQuietUpstreams(t *testing.T) {
+	p := newTestPool(5)
+	used := make(map[nutmegid.Upstream]int)
+	for range 50 {
+		k, err := p.Pick(t.Context(), Ask{Model: testModel, Priority: PriorityBatch})
+		if err != nil {
+			t.Fatal(err)
+		}
+		used[k.Upstream]++
+	}
+	if len(used) != 3 {
+		t.Errorf("%d upstreams got batch plans; want 3 of 5: %v", len(used), used)
+	}
+}
+
 func TestCancelledCallersDoNotEject(t *testing.T) {
 	p := newTestPool(2)
 	chosen(t, p, 50, &Error{Kind: KindBroken, Ran: RanYes, Err: context.Canceled})
--- a/nutmegroute/queue.go
+++ b/nutmegroute/queue.go
@@ -14,12 +14,19 @@
 	MaxWaiting int // of each priority; DefaultMaxWaiting when zero
 }
 
+// Capacity is what the upstreams behind a queue run.
+type Capacity struct {
+	Slots  int64 // requests at once
+	Others int64 // requests of other instances at the upstreams
+	Owners int   // instances that share the upstreams
+}
+
 // ceilings are the shares of the capacity up to which a priority may fill it:
 // what is left stays free for more urgent ones.
-var ceilings = [priorities]float64{1, 0.95, 0.85, 0.6}
+var ceilings = [priorities]float64{1, 0.95, 0.85, 0.45}
 
-// floors are the shares of the capacity that a priority may always use, so
-// that none starves.
+// floors are the shares of the capacity that a priority may always use over
+// all instances, so that none starves.
 var floors = [priorities]float64{0.25, 0.1, 0.1, 0.05}
 
 // Queue admits requests by priority, and within one by deficit round robin
@@ -28,15 +35,15 @@
 	cfg QueueConfig
 
 	mu       sync.Mutex
-	capacity int64
+	capacity Capacity
 	running  [priorities]int64
 	total    int64
 	classes  [priorities]class
 	pace     pace
 }
 
-// NewQueue returns a queue before upstreams that run capacity requests at once.
-func NewQueue(cfg QueueConfig, capacity int64) *Queue {
+// NewQueue returns a queue before upstreams of a capacity.
+func NewQueue(cfg QueueConfig, capacity Capacity) *Queue {
 	if cfg.MaxWaiting == 0 {
 		cfg.MaxWaiting = DefaultMaxWaiting
 	}
@@ -47,8 +54,8 @@
 	return q
 }
 
-// SetCapacity changes the number of requests that run at once.
-func (q *Queue) SetCapacity(capacity int64) {
+// SetCapacity changes the capacity.
+func (q *Queue) SetCapacity(capacity Capacity) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.capacity = capacity
@@ -121,10 +128,12 @@
 
 // free says whether a request of priority p may start now.
 func (q *Queue) free(p Priority) bool {
-	if float64(q.running[p]) < max(1, floors[p]*float64(q.capacity)) {
+	slots := float64(q.capacity.Slots)
+	floor := floors[p] * slots / float64(max(q.capacity.Owners, 1))
+	if float64(q.running[p]) < max(1, floor) {
 		return true
 	}
-	return float64(q.total) < ceilings[p]*float64(q.capacity)
+	return float64(q.total+q.capacity.Others) < ceilings[p]*slots
 }
 
 func (q *Queue) admit(p Priority) {
--- a/nutmegroute/queue_test.go
+++ b/nutmegroute/queue_test.go
@@ -36,7 +36,7 @@
 
 func TestUrgentRequestsGoFirst(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := NewQueue(QueueConfig{}, 10)
+		q := NewQueue(QueueConfig{}, Capacity{Slots: 10})
 		occupy(t, q, PriorityCheck, 10)
 		occupy(t, q, PrioritySteady, 1) // each priority has a place of its own
 		occupy(t, q, PriorityLookUp, 1)
@@ -62,17 +62,17 @@
 
 func TestBatchPlansLeaveRoomAndDoNotStarve(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := NewQueue(QueueConfig{}, 100)
+		q := NewQueue(QueueConfig{}, Capacity{Slots: 100})
 		order := make(chan string, 300)
 		for range 200 {
 			enter(t, q, PriorityBatch, "batch", 1, order)
 		}
-		if diff := cmp.Diff(60, len(order)); diff != "" {
+		if diff := cmp.Diff(45, len(order)); diff != "" {
 			t.Errorf("batch requests that run (-want +got):\n%s", diff)
 		}
-		occupy(t, q, PriorityCheck, 40)
+		occupy(t, q, PriorityCheck, 55)
 		before := len(order)
-		for range 60 {
+		for range 45 {
 			q.Leave(PriorityBatch)
 		}
 		synctest.Wait()
@@ -84,7 +84,7 @@
 
 func TestLargeWorkspaceDoesNotStarveASmallOne(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := NewQueue(QueueConfig{}, 20)
+		q := NewQueue(QueueConfig{}, Capacity{Slots: 20})
 		occupy(t, q, PrioritySteady, 17)
 		order := make(chan string, 100)
 		for range 50 {
@@ -109,7 +109,7 @@
 
 func TestFairnessCountsTokens(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := NewQueue(QueueConfig{}, 20)
+		q := NewQueue(QueueConfig{}, Capacity{Slots: 20})
 		occupy(t, q, PrioritySteady, 17)
 		order := make(chan string, 100)
 		for range 20 {
@@ -132,7 +132,7 @@
 
 func TestFullQueueRefusesTheLargestWorkspace(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := NewQueue(QueueConfig{MaxWaiting: 10}, 1)
+		q := NewQueue(QueueConfig{MaxWaiting: 10}, Capacity{Slots: 1})
 		occupy(t, q, PriorityBatch, 1)
 		refused := make(chan error, 20)
 		for range 11 {
@@ -166,7 +166,7 @@
 
 func TestWaitingEndsWithTheCaller(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := NewQueue(QueueConfig{}, 1)
+		q := NewQueue(QueueConfig{}, Capacity{Slots: 1})
 		occupy(t, q, PrioritySteady, 1)
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -182,7 +182,7 @@
 
 func TestRequestPastItsDeadlineIsRefusedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		q := NewQueue(QueueConfig{}, 1)
+		q := NewQueue(QueueConfig{}, Capacity{Slots: 1})
 		for range 100 {
 			occupy(t, q, PrioritySteady, 1)
 			time.Sleep(time.Second)
@@ -208,7 +208,7 @@
 }
 
 func BenchmarkQueue(b *testing.B) {
-	q := NewQueue(QueueConfig{}, 1000)
+	q := NewQueue(QueueConfig{}, Capacity{Slots: 1000})
 	b.ReportAllocs()
 	for b.Loop() {
 		if err := q.Enter(b.Context(), PrioritySteady, "rack", 100); err != nil {
--- a/nutmegroute/reports.go
+++ b/nutmegroute/reports.go
@@ -51,7 +51,7 @@
 	for _, m := range c.Models {
 		if l := p.lanes[laneKey{model: m}]; l != nil {
 			l.set.index.apply(c, r.Cache)
-			l.queue.SetCapacity(l.set.capacity())
+			l.queue.SetCapacity(l.set.capacity(p.now()))
 		}
 	}
 }
--- a/nutmegroute/subset.go
+++ b/nutmegroute/subset.go
@@ -22,19 +22,20 @@
 	return f
 }
 
-// subset returns the candidates that instance self uses. Each candidate is
+// subset returns the candidates that instance self uses, and the number of
+// instances that share each of them. Each candidate is
 // used by the instances that rank highest for it in rendezvous hashing, so
 // every candidate is covered, and a change of one instance or upstream moves
 // only its own share.
-func (f fleet) subset(self nutmegid.Instance, candidates []*Candidate, size int) []*Candidate {
+func (f fleet) subset(self nutmegid.Instance, candidates []*Candidate, size int) ([]*Candidate, int) {
 	n := len(f.names)
 	at, ok := slices.BinarySearch(f.names, self)
 	if !ok || len(candidates) <= size {
-		return candidates
+		return candidates, max(n, 1)
 	}
 	owners := max((n*size+len(candidates)-1)/len(candidates), minOwners)
 	if owners >= n {
-		return candidates
+		return candidates, n
 	}
 	var mine []*Candidate
 	for _, c := range candidates {
@@ -42,7 +43,7 @@
 			mine = append(mine, c)
 		}
 	}
-	return mine
+	return mine, owners
 }
 
 // ranks says whether the instance at self is among the first owners of u.
