--- a/nutmegroute/chooser.go
+++ b/nutmegroute/chooser.go
@@ -119,13 +119,13 @@
 	return s.draw(s.Members, from, ask, now)
 }
 
-// second draws the other choice: from all members where the first, one of those
-// meant for the priority, is nearly full; a quiet one for a steady request.
+// second draws the other choice: for an urgent request from all members where
+// the first is nearly full, for a steady one from the quiet members.
 func (s *Set) second(first *Candidate, from *source, ask *Ask, now moment) *Candidate {
-	if first.load(now) >= fullShare*float64(first.Slots()) {
+	switch {
+	case ask.Priority <= PriorityLookUp && first.load(now) >= fullShare*float64(first.Slots()):
 		return s.draw(s.Members, from, ask, now)
-	}
-	if ask.Priority == PrioritySteady && !s.isQuiet[first] {
+	case ask.Priority == PrioritySteady && !s.isQuiet[first]:
 		if c := s.draw(s.quiet, from, ask, now); c != nil {
 			return c
 		}
