--- a/nutmegconf/config.go
+++ b/nutmegconf/config.go
@@ -3,22 +3,27 @@
 //
 // # Usage
 //
-//	book := nutmegconf.NewBook(writer)
-//	plan, err := book.Plan(ctx, operator, []nutmegconf.Intent{{Kind: nutmegconf.IntentAddBudget, ...}})
-//	// show plan.Changes; nothing has taken effect yet
-//	revision, err := book.Confirm(ctx, operator, plan.ID)
+//	book := nutmegconf.NewBook(nutmegconf.BookConfig{Store: writer, Rollout: rollout, Effects: effects, Live: live})
+//	plan, err := book.Plan(ctx, actor, "more glass", []nutmegconf.Intent{{Kind: nutmegconf.IntentTopUp, ...}})
+//	// show plan.Changes, plan.Affects and plan.Warnings; nothing has taken effect yet
+//	done, err := book.Confirm(ctx, actor, plan.ID)
 //
-//	view := nutmegconf.NewView()
-//	view.Apply(config) // false unless config has a higher revision
+//	rollout := nutmegconf.NewRollout(nutmegconf.RolloutConfig{View: view})
+//	rollout.Offer(ctx, head, source) // false unless head has a higher revision
 //
 // The platform's head object is the only arbiter: confirm is a compare and set
-// on the revision that the plan was made against. Instances apply only higher
-// revisions, so an accepted configuration never reverts.
+// on the revision that the plan was made against. The head names immutable
+// segments by their hashes, so that an instance fetches only what changed.
+// Instances apply only higher revisions, so an accepted configuration never
+// reverts. What a plan does outside the head (top-ups, releases, orders to
+// engines) is written into the head with the revision and carried out from
+// there by any instance, each effect once.
 package nutmegconf
 
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"sync"
 	"sync/atomic"
 
@@ -67,11 +72,26 @@
 	RoleOperator Role = "operator"
 )
 
+// OwnerConfig is one organisation that prepays budgets.
+type OwnerConfig struct {
+	Weighing Weighing `json:"weighing,omitempty"`
+}
+
+// Weighing is what an owner would rather avoid where both cannot be had.
+type Weighing string
+
+// The weighings.
+const (
+	WeighOverspend     Weighing = "overspend"
+	WeighFalseRefusals Weighing = "false_refusals"
+)
+
 // WorkspaceConfig is one workspace. Caller keys are kept as SHA-256 hashes.
 type WorkspaceConfig struct {
 	Owner     nutmegid.Owner `json:"owner"`
 	KeyHashes []string       `json:"key_hashes"`
 	Priority  Priority       `json:"priority,omitempty"`
+	Closed    bool           `json:"closed,omitempty"` // takes no new requests
 }
 
 // RouteConfig is one routed plain service.
@@ -80,6 +100,12 @@
 	Priority Priority   `json:"priority"`
 }
 
+// ModelConfig is one model that engines serve.
+type ModelConfig struct {
+	MaxTokens nutmegid.Tokens `json:"max_tokens,omitempty"` // of one answer; no bound when zero
+	Priority  Priority        `json:"priority,omitempty"`
+}
+
 // UpstreamConfig is one back end.
 type UpstreamConfig struct {
 	Kind          UpstreamKind           `json:"kind"`
@@ -91,7 +117,8 @@
 	Retired       bool                   `json:"retired,omitempty"`
 }
 
-// OperatorConfig is one operator. The key is kept as a SHA-256 hash.
+// OperatorConfig is one operator. The key is kept as a SHA-256 hash. An
+// operator without an owner looks after the shared part.
 type OperatorConfig struct {
 	Owner   nutmegid.Owner `json:"owner"`
 	Role    Role           `json:"role"`
@@ -101,17 +128,52 @@
 // Config is one accepted configuration.
 type Config struct {
 	Revision   nutmegid.Revision                        `json:"revision"`
-	Owners     map[nutmegid.Owner]struct{}              `json:"owners"`
+	Owners     map[nutmegid.Owner]OwnerConfig           `json:"owners"`
 	Workspaces map[nutmegid.Workspace]WorkspaceConfig   `json:"workspaces"`
 	Routes     map[nutmegid.Route]RouteConfig           `json:"routes"`
+	Models     map[nutmegid.Model]ModelConfig           `json:"models"`
 	Upstreams  map[nutmegid.Upstream]UpstreamConfig     `json:"upstreams"`
 	Operators  map[string]OperatorConfig                `json:"operators"`
-	Plans      map[nutmegid.PlanID]nutmegid.Revision    `json:"plans"`
+	segments   map[Section]SegmentHash                  // where each section came from
 	keys       map[string]nutmegid.Workspace            // by key hash
+	operators  map[string]string                        // name by key hash
 	budgets    map[nutmegid.Workspace]nutmegid.BudgetID // avoids building ids on the request path
 	owners     map[nutmegid.Workspace]nutmegid.BudgetID
 }
 
+// clone copies a configuration so that its maps can be changed.
+func (c *Config) clone() *Config {
+	n := &Config{
+		Revision:   c.Revision,
+		Owners:     maps.Clone(c.Owners),
+		Workspaces: maps.Clone(c.Workspaces),
+		Routes:     maps.Clone(c.Routes),
+		Models:     maps.Clone(c.Models),
+		Upstreams:  maps.Clone(c.Upstreams),
+		Operators:  maps.Clone(c.Operators),
+		segments:   maps.Clone(c.segments),
+	}
+	n.makeMaps()
+	return n
+}
+
+func (c *Config) makeMaps() {
+	c.Owners = made(c.Owners)
+	c.Workspaces = made(c.Workspaces)
+	c.Routes = made(c.Routes)
+	c.Models = made(c.Models)
+	c.Upstreams = made(c.Upstreams)
+	c.Operators = made(c.Operators)
+	c.segments = made(c.segments)
+}
+
+func made[K comparable, V any](m map[K]V) map[K]V {
+	if m == nil {
+		return make(map[K]V)
+	}
+	return m
+}
+
 // HashKey returns the form in which keys are kept.
 func HashKey(key string) string {
 	sum := sha256.Sum256([]byte(key))
@@ -123,15 +185,25 @@
 	c.keys = make(map[string]nutmegid.Workspace)
 	c.budgets = make(map[nutmegid.Workspace]nutmegid.BudgetID)
 	c.owners = make(map[nutmegid.Workspace]nutmegid.BudgetID)
+	c.operators = make(map[string]string)
+	for name, o := range c.Operators {
+		c.operators[o.KeyHash] = name
+	}
 	for name, w := range c.Workspaces {
-		for _, hash := range w.KeyHashes {
-			c.keys[hash] = name
+		if !w.Closed {
+			c.addKeys(name, w)
 		}
 		c.budgets[name] = nutmegid.WorkspaceBudget(name)
 		c.owners[name] = nutmegid.OwnerBudget(w.Owner)
 	}
 }
 
+func (c *Config) addKeys(name nutmegid.Workspace, w WorkspaceConfig) {
+	for _, hash := range w.KeyHashes {
+		c.keys[hash] = name
+	}
+}
+
 // Caller is the workspace that a key belongs to, with its budgets.
 type Caller struct {
 	Workspace       nutmegid.Workspace
@@ -159,13 +231,8 @@
 
 // Operator returns the name and rights that an operator's key gives.
 func (c *Config) Operator(key string) (string, OperatorConfig, bool) {
-	hash := HashKey(key)
-	for name, o := range c.Operators {
-		if o.KeyHash == hash {
-			return name, o, true
-		}
-	}
-	return "", OperatorConfig{}, false
+	name, ok := c.operators[HashKey(key)]
+	return name, c.Operators[name], ok
 }
 
 // View is the configuration in force at one instance. Its revision never falls.
--- a/nutmegconf/intent.go
+++ b/nutmegconf/intent.go
@@ -1,9 +1,11 @@
 package nutmegconf
 
 import (
+	"encoding/json"
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
@@ -13,220 +15,189 @@
 
 // The kinds of intents.
 const (
-	IntentAddOwner        IntentKind = "add_owner"
-	IntentAddBudget       IntentKind = "add_budget"
-	IntentTopUp           IntentKind = "top_up"
-	IntentAddWorkspace    IntentKind = "add_workspace"
-	IntentMoveWorkspace   IntentKind = "move_workspace"
-	IntentAddRoute        IntentKind = "add_route"
-	IntentAddUpstream     IntentKind = "add_upstream"
-	IntentRetireUpstreams IntentKind = "retire_upstreams"
-	IntentAddOperator     IntentKind = "add_operator"
+	IntentAddOwner         IntentKind = "add_owner"
+	IntentChangeOwner      IntentKind = "change_owner"
+	IntentRemoveOwner      IntentKind = "remove_owner"
+	IntentAddBudget        IntentKind = "add_budget"
+	IntentTopUp            IntentKind = "top_up"
+	IntentLowerBudget      IntentKind = "lower_budget"
+	IntentRemoveBudget     IntentKind = "remove_budget"
+	IntentAddWorkspace     IntentKind = "add_workspace"
+	IntentChangeWorkspace  IntentKind = "change_workspace"
+	IntentMoveWorkspace    IntentKind = "move_workspace"
+	IntentCloseWorkspace   IntentKind = "close_workspace"
+	IntentOpenWorkspace    IntentKind = "open_workspace"
+	IntentRemoveWorkspace  IntentKind = "remove_workspace"
+	IntentAddRoute         IntentKind = "add_route"
+	IntentChangeRoute      IntentKind = "change_route"
+	IntentSetRepeatRule    IntentKind = "set_repeat_rule"
+	IntentRemoveRoute      IntentKind = "remove_route"
+	IntentAddModel         IntentKind = "add_model"
+	IntentChangeModel      IntentKind = "change_model"
+	IntentRemoveModel      IntentKind = "remove_model"
+	IntentAddUpstream      IntentKind = "add_upstream"
+	IntentChangeUpstream   IntentKind = "change_upstream"
+	IntentRemoveUpstream   IntentKind = "remove_upstream"
+	IntentRetireUpstreams  IntentKind = "retire_upstreams"
+	IntentRestoreUpstreams IntentKind = "restore_upstreams"
+	IntentReleaseInstance  IntentKind = "release_instance"
+	IntentLoadModel        IntentKind = "load_model"
+	IntentUnloadModel      IntentKind = "unload_model"
+	IntentLoadAdapter      IntentKind = "load_adapter"
+	IntentUnloadAdapter    IntentKind = "unload_adapter"
+	IntentLoadVersion      IntentKind = "load_version"
+	IntentChangeRole       IntentKind = "change_role"
+	IntentAddOperator      IntentKind = "add_operator"
+	IntentChangeOperator   IntentKind = "change_operator"
+	IntentRemoveOperator   IntentKind = "remove_operator"
+	IntentRollBack         IntentKind = "roll_back"
 )
 
 // Intent is one typed statement of an operator. Each kind uses the fields that
-// its name calls for.
+// its name calls for, see Kinds; any other field is a fault.
 type Intent struct {
-	Kind      IntentKind          `json:"kind"`
-	Owner     nutmegid.Owner      `json:"owner,omitempty"`
-	Workspace nutmegid.Workspace  `json:"workspace,omitempty"`
-	Budget    nutmegid.BudgetID   `json:"budget,omitempty"`
-	Tokens    nutmegid.Tokens     `json:"tokens,omitempty"`
-	KeyHashes []string            `json:"key_hashes,omitempty"`
-	Priority  Priority            `json:"priority,omitempty"`
-	Route     nutmegid.Route      `json:"route,omitempty"`
-	Rule      RepeatRule          `json:"rule,omitempty"`
-	Upstreams []nutmegid.Upstream `json:"upstreams,omitempty"`
-	Upstream  *UpstreamConfig     `json:"upstream,omitempty"`
-	Operator  string              `json:"operator,omitempty"`
-	Role      Role                `json:"role,omitempty"`
-}
-
-// Change is one effect of a plan, as shown to the operator.
-type Change struct {
-	What   string `json:"what"`
-	Before string `json:"before"`
-	After  string `json:"after"`
-}
-
-// IntentError says why an intent was refused.
-type IntentError struct {
-	Kind   IntentKind
-	Detail string
-	Remedy string
-}
-
-// Error names the intent, what is wrong and the remedy.
-func (e *IntentError) Error() string {
-	return fmt.Sprintf("intent %q: %s; %s", e.Kind, e.Detail, e.Remedy)
-}
-
-func refuse(kind IntentKind, remedy, format string, args ...any) error {
-	return &IntentError{Kind: kind, Detail: fmt.Sprintf(format, args...), Remedy: remedy}
-}
-
-// clone copies a configuration so that intents can change the copy.
-func (c *Config) clone() *Config {
-	n := &Config{
-		Revision:   c.Revision,
-		Owners:     maps.Clone(c.Owners),
-		Workspaces: maps.Clone(c.Workspaces),
-		Routes:     maps.Clone(c.Routes),
-		Upstreams:  maps.Clone(c.Upstreams),
-		Operators:  maps.Clone(c.Operators),
-		Plans:      maps.Clone(c.Plans),
-	}
-	n.makeMaps()
-	return n
-}
-
-func (c *Config) makeMaps() {
-	c.Owners = made(c.Owners)
-	c.Workspaces = made(c.Workspaces)
-	c.Routes = made(c.Routes)
-	c.Upstreams = made(c.Upstreams)
-	c.Operators = made(c.Operators)
-	c.Plans = made(c.Plans)
-}
-
-func made[K comparable, V any](m map[K]V) map[K]V {
-	if m == nil {
-		return make(map[K]V)
-	}
-	return m
-}
-
-// apply makes the intent's change to c and describes it.
-func (i Intent) apply(c *Config) (Change, error) {
-	fn, ok := appliers[i.Kind]
+	Kind        IntentKind           `json:"kind"`
+	Owner       nutmegid.Owner       `json:"owner,omitempty"`
+	Weighing    Weighing             `json:"weighing,omitempty"`
+	Workspace   nutmegid.Workspace   `json:"workspace,omitempty"`
+	Budget      nutmegid.BudgetID    `json:"budget,omitempty"`
+	Tokens      nutmegid.Tokens      `json:"tokens,omitempty"`
+	KeyHashes   []string             `json:"key_hashes,omitempty"`
+	Priority    Priority             `json:"priority,omitempty"`
+	Route       nutmegid.Route       `json:"route,omitempty"`
+	Rule        RepeatRule           `json:"rule,omitempty"`
+	Model       nutmegid.Model       `json:"model,omitempty"`
+	Adapter     string               `json:"adapter,omitempty"`
+	Version     string               `json:"version,omitempty"`
+	EngineRole  string               `json:"engine_role,omitempty"`
+	Upstreams   []nutmegid.Upstream  `json:"upstreams,omitempty"`
+	Upstream    *UpstreamConfig      `json:"upstream,omitempty"`
+	Incarnation nutmegid.Incarnation `json:"incarnation,omitempty"`
+	Gone        bool                 `json:"gone,omitempty"` // the operator states that the machine is gone
+	Operator    string               `json:"operator,omitempty"`
+	Role        Role                 `json:"role,omitempty"`
+	Revision    nutmegid.Revision    `json:"revision,omitempty"`
+}
+
+// intentSpec says which fields a kind needs and may have, and applies it.
+type intentSpec struct {
+	needs []string
+	may   []string
+	apply func(d *draft, i Intent)
+}
+
+var specs = map[IntentKind]intentSpec{
+	IntentAddOwner:         {needs: []string{"owner"}, may: []string{"weighing"}, apply: addOwner},
+	IntentChangeOwner:      {needs: []string{"owner", "weighing"}, apply: changeOwner},
+	IntentRemoveOwner:      {needs: []string{"owner"}, apply: removeOwner},
+	IntentAddBudget:        {needs: []string{"budget", "tokens"}, apply: topUp},
+	IntentTopUp:            {needs: []string{"budget", "tokens"}, apply: topUp},
+	IntentLowerBudget:      {needs: []string{"budget"}, may: []string{"tokens"}, apply: lowerBudget},
+	IntentRemoveBudget:     {needs: []string{"budget"}, apply: removeBudget},
+	IntentAddWorkspace:     {needs: []string{"workspace", "owner"}, may: []string{"key_hashes", "priority"}, apply: addWorkspace},
+	IntentChangeWorkspace:  {needs: []string{"workspace"}, may: []string{"key_hashes", "priority"}, apply: changeWorkspace},
+	IntentMoveWorkspace:    {needs: []string{"workspace", "owner"}, apply: moveWorkspace},
+	IntentCloseWorkspace:   {needs: []string{"workspace"}, apply: closeWorkspace},
+	IntentOpenWorkspace:    {needs: []string{"workspace"}, apply: closeWorkspace},
+	IntentRemoveWorkspace:  {needs: []string{"workspace"}, apply: removeWorkspace},
+	IntentAddRoute:         {needs: []string{"route", "rule"}, may: []string{"priority"}, apply: addRoute},
+	IntentChangeRoute:      {needs: []string{"route", "priority"}, apply: changeRoute},
+	IntentSetRepeatRule:    {needs: []string{"route", "rule"}, apply: changeRoute},
+	IntentRemoveRoute:      {needs: []string{"route"}, apply: removeRoute},
+	IntentAddModel:         {needs: []string{"model"}, may: []string{"tokens", "priority"}, apply: addModel},
+	IntentChangeModel:      {needs: []string{"model"}, may: []string{"tokens", "priority"}, apply: addModel},
+	IntentRemoveModel:      {needs: []string{"model"}, apply: removeModel},
+	IntentAddUpstream:      {needs: []string{"upstreams", "upstream"}, apply: addUpstream},
+	IntentChangeUpstream:   {needs: []string{"upstreams", "upstream"}, apply: addUpstream},
+	IntentRemoveUpstream:   {needs: []string{"upstreams"}, apply: removeUpstreams},
+	IntentRetireUpstreams:  {needs: []string{"upstreams"}, apply: retireUpstreams},
+	IntentRestoreUpstreams: {needs: []string{"upstreams"}, apply: retireUpstreams},
+	IntentReleaseInstance:  {needs: []string{"incarnation", "gone"}, apply: releaseInstance},
+	IntentLoadModel:        {needs: []string{"upstreams", "model"}, may: []string{"version"}, apply: orderEngines},
+	IntentUnloadModel:      {needs: []string{"upstreams", "model"}, apply: orderEngines},
+	IntentLoadAdapter:      {needs: []string{"upstreams", "adapter"}, may: []string{"model"}, apply: orderEngines},
+	IntentUnloadAdapter:    {needs: []string{"upstreams", "adapter"}, may: []string{"model"}, apply: orderEngines},
+	IntentLoadVersion:      {needs: []string{"upstreams", "model", "version"}, apply: orderEngines},
+	IntentChangeRole:       {needs: []string{"upstreams", "engine_role"}, apply: orderEngines},
+	IntentAddOperator:      {needs: []string{"operator", "key_hashes", "role"}, may: []string{"owner"}, apply: addOperator},
+	IntentChangeOperator:   {needs: []string{"operator"}, may: []string{"key_hashes", "role"}, apply: changeOperator},
+	IntentRemoveOperator:   {needs: []string{"operator"}, apply: removeOperator},
+}
+
+// rollBackSpec stands apart: applying it needs the other kinds' specs.
+var rollBackSpec = intentSpec{needs: []string{"revision"}, apply: rollBack}
+
+// specOf returns the spec of a kind.
+func specOf(kind IntentKind) (intentSpec, bool) {
+	if kind == IntentRollBack {
+		return rollBackSpec, true
+	}
+	spec, ok := specs[kind]
+	return spec, ok
+}
+
+// Kinds returns all kinds of intents with the fields that each needs, and
+// those it may have in brackets.
+func Kinds() map[IntentKind]string {
+	kinds := map[IntentKind]string{IntentRollBack: rollBackSpec.fields()}
+	for kind, spec := range specs {
+		kinds[kind] = spec.fields()
+	}
+	return kinds
+}
+
+func (s intentSpec) fields() string {
+	text := strings.Join(s.needs, " ")
+	for _, field := range s.may {
+		text += " [" + field + "]"
+	}
+	return text
+}
+
+// checkFields reports missing and surplus fields of an intent.
+func (i Intent) checkFields(d *draft) bool {
+	spec, ok := specOf(i.Kind)
 	if !ok {
-		return Change{}, refuse(i.Kind, fmt.Sprintf("use one of %v", slices.Sorted(maps.Keys(appliers))), "the kind is unknown")
-	}
-	return fn(i, c)
-}
-
-var appliers = map[IntentKind]func(Intent, *Config) (Change, error){
-	IntentAddOwner:        applyAddOwner,
-	IntentAddBudget:       applyBudget,
-	IntentTopUp:           applyBudget,
-	IntentAddWorkspace:    applyAddWorkspace,
-	IntentMoveWorkspace:   applyMoveWorkspace,
-	IntentAddRoute:        applyAddRoute,
-	IntentAddUpstream:     applyAddUpstream,
-	IntentRetireUpstreams: applyRetireUpstreams,
-	IntentAddOperator:     applyAddOperator,
-}
-
-func applyAddOwner(i Intent, c *Config) (Change, error) {
-	if i.Owner == "" {
-		return Change{}, refuse(i.Kind, "name the owner", "owner is empty")
-	}
-	if _, ok := c.Owners[i.Owner]; ok {
-		return Change{}, refuse(i.Kind, "choose another name", "owner %q exists", i.Owner)
-	}
-	c.Owners[i.Owner] = struct{}{}
-	return Change{What: "owner " + string(i.Owner), After: "added"}, nil
-}
-
-// applyBudget checks a budget's change; the tokens are added to its shard after the confirm.
-func applyBudget(i Intent, c *Config) (Change, error) {
-	if i.Tokens <= 0 {
-		return Change{}, refuse(i.Kind, "give a positive number of tokens", "tokens is %d", i.Tokens)
-	}
-	if !c.budgetExists(i.Budget) {
-		return Change{}, refuse(i.Kind, "name workspace/NAME or owner/NAME of an existing workspace or owner", "budget %q has no workspace or owner", i.Budget)
-	}
-	return Change{What: "budget " + string(i.Budget), Before: "prepaid", After: fmt.Sprintf("prepaid + %d tokens", i.Tokens)}, nil
-}
-
-func (c *Config) budgetExists(id nutmegid.BudgetID) bool {
-	for name := range c.Workspaces {
-		if nutmegid.WorkspaceBudget(name) == id {
-			return true
+		d.fault(fmt.Sprintf("use one of %v", slices.Sorted(maps.Keys(Kinds()))), "the kind is unknown")
+		return false
+	}
+	given, err := i.given()
+	if err != nil {
+		d.fault("give a valid intent", "%v", err)
+		return false
+	}
+	whole := true
+	for _, field := range spec.needs {
+		if !given[field] {
+			d.fault("give it", "field %q is missing", field)
+			whole = false
 		}
+		delete(given, field)
 	}
-	for name := range c.Owners {
-		if nutmegid.OwnerBudget(name) == id {
-			return true
-		}
-	}
-	return false
-}
-
-func applyAddWorkspace(i Intent, c *Config) (Change, error) {
-	if i.Workspace == "" {
-		return Change{}, refuse(i.Kind, "name the workspace", "workspace is empty")
-	}
-	if _, ok := c.Workspaces[i.Workspace]; ok {
-		return Change{}, refuse(i.Kind, "choose another name", "workspace %q exists", i.Workspace)
-	}
-	if _, ok := c.Owners[i.Owner]; !ok {
-		return Change{}, refuse(i.Kind, "add the owner first", "owner %q does not exist", i.Owner)
-	}
-	c.Workspaces[i.Workspace] = WorkspaceConfig{Owner: i.Owner, KeyHashes: i.KeyHashes, Priority: i.Priority}
-	return Change{What: "workspace " + string(i.Workspace), After: "added for owner " + string(i.Owner)}, nil
-}
-
-func applyMoveWorkspace(i Intent, c *Config) (Change, error) {
-	w, ok := c.Workspaces[i.Workspace]
-	if !ok {
-		return Change{}, refuse(i.Kind, "name an existing workspace", "workspace %q does not exist", i.Workspace)
-	}
-	if _, ok := c.Owners[i.Owner]; !ok {
-		return Change{}, refuse(i.Kind, "add the owner first", "owner %q does not exist", i.Owner)
+	for _, field := range spec.may {
+		delete(given, field)
 	}
-	before := w.Owner
-	w.Owner = i.Owner
-	c.Workspaces[i.Workspace] = w
-	return Change{What: "owner of workspace " + string(i.Workspace), Before: string(before), After: string(i.Owner)}, nil
-}
-
-func applyAddRoute(i Intent, c *Config) (Change, error) {
-	if i.Route == "" {
-		return Change{}, refuse(i.Kind, "name the route", "route is empty")
+	for _, field := range slices.Sorted(maps.Keys(given)) {
+		d.fault("leave it out; the fields are "+spec.fields(), "field %q does not belong to this kind", field)
+		whole = false
 	}
-	if _, ok := c.Routes[i.Route]; ok {
-		return Change{}, refuse(i.Kind, "choose another name", "route %q exists", i.Route)
-	}
-	rules := []RepeatRule{RuleRepeatable, RuleProtected, RuleNever}
-	if !slices.Contains(rules, i.Rule) {
-		return Change{}, refuse(i.Kind, fmt.Sprintf("use one of %v", rules), "rule %q is unknown", i.Rule)
-	}
-	c.Routes[i.Route] = RouteConfig{Rule: i.Rule, Priority: i.Priority}
-	return Change{What: "route " + string(i.Route), After: "added, " + string(i.Rule)}, nil
+	return whole
 }
 
-func applyAddUpstream(i Intent, c *Config) (Change, error) {
-	if len(i.Upstreams) != 1 || i.Upstream == nil {
-		return Change{}, refuse(i.Kind, "give one name in upstreams and the back end in upstream", "%d names given", len(i.Upstreams))
-	}
-	name := i.Upstreams[0]
-	if _, ok := c.Upstreams[name]; ok {
-		return Change{}, refuse(i.Kind, "choose another name", "upstream %q exists", name)
+// given returns the names of the fields that are set, without the kind.
+func (i Intent) given() (map[string]bool, error) {
+	raw, err := json.Marshal(i)
+	if err != nil {
+		return nil, err
 	}
-	c.Upstreams[name] = *i.Upstream
-	return Change{What: "upstream " + string(name), After: "added at " + i.Upstream.URL}, nil
-}
-
-func applyRetireUpstreams(i Intent, c *Config) (Change, error) {
-	for _, name := range i.Upstreams {
-		u, ok := c.Upstreams[name]
-		if !ok {
-			return Change{}, refuse(i.Kind, "name existing upstreams", "upstream %q does not exist", name)
-		}
-		u.Retired = true
-		c.Upstreams[name] = u
-	}
-	return Change{What: fmt.Sprintf("upstreams %v", i.Upstreams), Before: "serving", After: "retired: no new work"}, nil
-}
-
-func applyAddOperator(i Intent, c *Config) (Change, error) {
-	if i.Operator == "" || len(i.KeyHashes) != 1 {
-		return Change{}, refuse(i.Kind, "give a name and one key hash", "%d key hashes given", len(i.KeyHashes))
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		return nil, err
 	}
-	if i.Role != RoleReader && i.Role != RoleOperator {
-		return Change{}, refuse(i.Kind, "use reader or operator", "role %q is unknown", i.Role)
+	given := make(map[string]bool)
+	for field := range fields {
+		given[field] = field != "kind"
 	}
-	c.Operators[i.Operator] = OperatorConfig{Owner: i.Owner, Role: i.Role, KeyHash: i.KeyHashes[0]}
-	return Change{What: "operator " + i.Operator, After: "added as " + string(i.Role)}, nil
+	delete(given, "kind")
+	return given, nil
 }
--- a/nutmegconf/plan.go
+++ b/nutmegconf/plan.go
@@ -1,176 +1,141 @@
 package nutmegconf
 
 import (
-	"context"
-	"errors"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
-	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
-const (
-	// ConfigKind is the object kind of the configuration.
-	ConfigKind = "config"
-	// PlanKind is the object kind of plans.
-	PlanKind = "plan"
-)
-
-// HeadKey names the object that holds the accepted configuration.
-var HeadKey = nutmegstore.Key{Kind: ConfigKind, Name: "head"}
-
 // Plan is the answer to intents: what would change. It has no effect until it
 // is confirmed.
 type Plan struct {
-	ID       nutmegid.PlanID   `json:"id"`
-	Base     nutmegid.Revision `json:"base_revision"`
-	Operator string            `json:"operator"`
-	Reason   string            `json:"reason,omitempty"`
-	MadeAt   time.Time         `json:"made_at"`
-	Intents  []Intent          `json:"intents"`
-	Changes  []Change          `json:"changes"`
-}
-
-// StalePlanError says that the configuration moved on after the plan was made.
-type StalePlanError struct {
-	Plan    nutmegid.PlanID
-	Base    nutmegid.Revision
-	Present nutmegid.Revision
-}
-
-// Error names both revisions and the remedy.
-func (e *StalePlanError) Error() string {
-	return fmt.Sprintf("plan %q was made against revision %d, but revision %d is in force; make the plan again", e.Plan, e.Base, e.Present)
+	ID        nutmegid.PlanID   `json:"id"`
+	Base      nutmegid.Revision `json:"base_revision"`
+	Operator  string            `json:"operator"`
+	Owner     nutmegid.Owner    `json:"owner,omitempty"` // of the operator
+	ConfirmBy nutmegid.Owner    `json:"confirm_by,omitempty"`
+	Reason    string            `json:"reason,omitempty"`
+	MadeAt    time.Time         `json:"made_at"`
+	Intents   []Intent          `json:"intents"`
+	Changes   []Change          `json:"changes"`
+	Affected  []Affected        `json:"affected,omitempty"`
+	Warnings  []string          `json:"warnings,omitempty"`
+	Effects   []Effect          `json:"effects,omitempty"`
 }
 
-// TopUp adds tokens to a budget, once per id.
-type TopUp struct {
-	Budget nutmegid.BudgetID
-	ID     nutmegid.TopUpID
-	Tokens nutmegid.Tokens
+// Confirmation is the answer to a confirm. The revision is durable; effects
+// that are still pending are carried out by any instance.
+type Confirmation struct {
+	Plan     nutmegid.PlanID   `json:"plan"`
+	Revision nutmegid.Revision `json:"revision"`
+	Pending  []Effect          `json:"pending,omitempty"`
 }
 
-// Budgets applies the budget part of a confirmed plan.
-type Budgets interface {
-	TopUp(ctx context.Context, t TopUp) error
+// entry is the history of the plan at its confirm.
+func (p Plan) entry(confirmedBy string, at time.Time, before map[Section]SegmentHash) Entry {
+	changes := p.Changes
+	if len(changes) > maxEntryChanges {
+		more := Change{What: fmt.Sprintf("and %d more, see plan %s", len(changes)-maxEntryChanges, p.ID)}
+		changes = append(append([]Change(nil), changes[:maxEntryChanges]...), more)
+	}
+	return Entry{
+		Revision:    p.Base + 1,
+		Plan:        p.ID,
+		Operator:    p.Operator,
+		ConfirmedBy: confirmedBy,
+		Owner:       p.Owner,
+		At:          at,
+		Reason:      p.Reason,
+		Changes:     changes,
+		Before:      before,
+	}
 }
 
-// BookConfig configures a book.
-type BookConfig struct {
-	Store   *nutmegstore.Writer
-	Budgets Budgets
-	Now     func() time.Time
+// mayConfirm checks the actor against the plan.
+func (p Plan) mayConfirm(a Actor) error {
+	if a.Owner == "" || a.Owner == p.ConfirmBy {
+		return nil
+	}
+	if p.ConfirmBy == "" && a.Owner == p.Owner {
+		return nil
+	}
+	wanted := p.ConfirmBy
+	if wanted == "" {
+		wanted = p.Owner
+	}
+	return &ForbiddenError{Plan: p.ID, Operator: a.Name, Wanted: wanted}
 }
 
-// Book makes and confirms plans.
-type Book struct {
-	cfg BookConfig
+// ForbiddenError says that the operator may not confirm a plan.
+type ForbiddenError struct {
+	Plan     nutmegid.PlanID
+	Operator string
+	Wanted   nutmegid.Owner
 }
 
-// NewBook returns a book over the store.
-func NewBook(cfg BookConfig) *Book {
-	if cfg.Now == nil {
-		cfg.Now = time.Now
+// Error names who may confirm.
+func (e *ForbiddenError) Error() string {
+	if e.Wanted == "" {
+		return fmt.Sprintf("operator %q may not confirm plan %q; ask an operator without owner", e.Operator, e.Plan)
 	}
-	return &Book{cfg: cfg}
+	return fmt.Sprintf("operator %q may not confirm plan %q; ask an operator of owner %q", e.Operator, e.Plan, e.Wanted)
 }
 
-// Plan works out what the intents would change and stores the plan.
-func (b *Book) Plan(ctx context.Context, operator, reason string, intents []Intent) (Plan, error) {
-	if len(intents) == 0 {
-		return Plan{}, errors.New("the request has no intents; give at least one")
-	}
-	base, err := b.head(ctx)
-	if err != nil {
-		return Plan{}, err
-	}
-	changes, err := applyAll(base.clone(), intents)
-	if err != nil {
-		return Plan{}, err
-	}
-	plan := Plan{
-		ID:       nutmegid.NewPlanID(),
-		Base:     base.Revision,
-		Operator: operator,
-		Reason:   reason,
-		MadeAt:   b.cfg.Now(),
-		Intents:  intents,
-		Changes:  changes,
-	}
-	return plan, nutmegstore.Create(ctx, b.cfg.Store, planKey(plan.ID), plan)
+// UnknownPlanError says that there is no such plan.
+type UnknownPlanError struct {
+	Plan nutmegid.PlanID
 }
 
-func (b *Book) head(ctx context.Context) (*Config, error) {
-	doc, err := nutmegstore.Read[Config](ctx, b.cfg.Store, HeadKey)
-	if nutmegstore.IsKind(err, nutmegstore.KindNotFound) {
-		return &Config{}, nil
-	}
-	return &doc.Body, err
+// Error names the plan and the remedy.
+func (e *UnknownPlanError) Error() string {
+	return fmt.Sprintf("plan %q does not exist; make it again from its intents", e.Plan)
 }
 
-// applyAll makes all changes or reports all faults.
-func applyAll(c *Config, intents []Intent) ([]Change, error) {
-	var changes []Change
-	var faults []error
-	for _, intent := range intents {
-		change, err := intent.apply(c)
-		if err != nil {
-			faults = append(faults, err)
-			continue
-		}
-		changes = append(changes, change)
-	}
-	return changes, errors.Join(faults...)
+// StalePlanError says that the configuration moved on after the plan was made.
+type StalePlanError struct {
+	Plan    nutmegid.PlanID
+	Base    nutmegid.Revision
+	Present nutmegid.Revision
+	By      *Entry // the first change after the base
+	Fresh   *Plan  // the same intents against the present revision; nil when they are refused now
+	Refused error  // why there is no fresh plan
 }
 
-// Confirm puts a plan into force by compare and set on its base revision.
-// Confirming the same plan again has no further effect.
-func (b *Book) Confirm(ctx context.Context, id nutmegid.PlanID) (nutmegid.Revision, error) {
-	doc, err := nutmegstore.Read[Plan](ctx, b.cfg.Store, planKey(id))
-	if err != nil {
-		return 0, err
+// Error names the other operator's change and the remedy.
+func (e *StalePlanError) Error() string {
+	var text strings.Builder
+	fmt.Fprintf(&text, "plan %q was made against revision %d, but revision %d is in force", e.Plan, e.Base, e.Present)
+	if e.By != nil {
+		fmt.Fprintf(&text, ": operator %q changed %s", e.By.ConfirmedBy, e.By.summary())
 	}
-	plan := doc.Body
-	head, err := nutmegstore.Update(ctx, b.cfg.Store, HeadKey, plan.confirm)
-	if err != nil {
-		return 0, err
+	switch {
+	case e.Fresh != nil:
+		fmt.Fprintf(&text, "; look at the new plan %q and confirm it", e.Fresh.ID)
+	case e.Refused != nil:
+		fmt.Fprintf(&text, "; the same intents are refused now: %v", e.Refused)
+	default:
+		text.WriteString("; make the plan again")
 	}
-	return head.Body.Plans[id], b.applyBudgets(ctx, plan)
+	return text.String()
 }
 
-func (p Plan) confirm(c *Config) error {
-	if _, ok := c.Plans[p.ID]; ok {
-		return nutmegstore.ErrUnchanged
+func (e Entry) summary() string {
+	var parts []string
+	for _, c := range e.Changes {
+		parts = append(parts, c.What)
 	}
-	if c.Revision != p.Base {
-		return &StalePlanError{Plan: p.ID, Base: p.Base, Present: c.Revision}
-	}
-	next := c.clone()
-	if _, err := applyAll(next, p.Intents); err != nil {
-		return err
-	}
-	next.Revision++
-	next.Plans[p.ID] = next.Revision
-	*c = *next
-	return nil
+	return strings.Join(parts, ", ")
 }
 
-// applyBudgets adds the plan's tokens. The top-up ids come from the plan, so a
-// repeated confirm adds nothing.
-func (b *Book) applyBudgets(ctx context.Context, plan Plan) error {
-	for n, intent := range plan.Intents {
-		if intent.Kind != IntentAddBudget && intent.Kind != IntentTopUp {
-			continue
-		}
-		topUp := TopUp{Budget: intent.Budget, ID: nutmegid.TopUpID(fmt.Sprintf("%s/%d", plan.ID, n)), Tokens: intent.Tokens}
-		if err := b.cfg.Budgets.TopUp(ctx, topUp); err != nil {
-			return fmt.Errorf("plan %q is confirmed, but budget %q was not topped up; confirm again: %w", plan.ID, intent.Budget, err)
-		}
-	}
-	return nil
+// LostHeadError says that the store holds an older head than the one in force.
+type LostHeadError struct {
+	Stored  nutmegid.Revision
+	InForce nutmegid.Revision
 }
 
-func planKey(id nutmegid.PlanID) nutmegstore.Key {
-	return nutmegstore.Key{Kind: PlanKind, Name: string(id)}
+// Error names both revisions and the remedy.
+func (e *LostHeadError) Error() string {
+	return fmt.Sprintf("the store holds revision %d, but revision %d is in force; restore object %s before changing anything", e.Stored, e.InForce, HeadKey)
 }
