Store the configuration in segments, plan all intents, carry effects out of the head

Cause: one object held all of the configuration and a map of all plans ever; top-ups of a confirmed plan were lost when its confirmer died; membership digests grew with the fleet; only the store's watch brought a revision. Now: a small head names immutable segments; effects are part of the accepted head and completed by any instance; peers pass revisions on; digests have a bounded size.

--- a/cmd/nutmegctl/commands.go
+++ b/cmd/nutmegctl/commands.go
@@ -69,7 +69,7 @@
 	if len(args) != 1 {
 		return cli.Usagef("name one plan")
 	}
-	var done nutmegnode.Confirmation
+	var done nutmegconf.Confirmation
 	path := "/v1/plans/" + url.PathEscape(args[0]) + "/confirm"
 	if err := c.call(ctx, c.servers()[0], http.MethodPost, path, nil, &done); err != nil {
 		return err
--- a/nutmegconf/book.go
+++ b/nutmegconf/book.go
@@ -25,6 +25,7 @@
 	Store   *nutmegstore.Writer
 	Rollout *Rollout
 	Effects Effects
+	Orders  bool        // engines take orders; their intents are refused when false
 	Live    func() Live // the state at the start of one plan
 	Remover Remover     // old segments stay when nil
 	Now     func() time.Time
@@ -100,6 +101,7 @@
 		actor:  actor,
 		live:   b.cfg.Live(),
 		plan:   id,
+		orders: b.cfg.Orders,
 		before: config,
 		config: config.clone(),
 		past: func(ctx context.Context, revision nutmegid.Revision) (*Config, error) {
--- a/nutmegconf/draft.go
+++ b/nutmegconf/draft.go
@@ -73,6 +73,7 @@
 	actor  Actor
 	live   Live
 	plan   nutmegid.PlanID
+	orders bool // engines take orders
 	before *Config
 	config *Config // before with the intents applied
 	past   func(ctx context.Context, revision nutmegid.Revision) (*Config, error)
--- a/nutmegconf/head.go
+++ b/nutmegconf/head.go
@@ -61,15 +61,17 @@
 
 // Entry is the history of one revision.
 type Entry struct {
-	Revision    nutmegid.Revision       `json:"revision"`
-	Plan        nutmegid.PlanID         `json:"plan"`
-	Operator    string                  `json:"operator"`
-	ConfirmedBy string                  `json:"confirmed_by"`
-	Owner       nutmegid.Owner          `json:"owner,omitempty"`
-	At          time.Time               `json:"at"`
-	Reason      string                  `json:"reason,omitempty"`
-	Changes     []Change                `json:"changes"`
-	Before      map[Section]SegmentHash `json:"before"` // of the changed sections; empty where there was none
+	Revision    nutmegid.Revision `json:"revision"`
+	Plan        nutmegid.PlanID   `json:"plan"`
+	Operator    string            `json:"operator"`
+	ConfirmedBy string            `json:"confirmed_by"`
+	Owner       nutmegid.Owner    `json:"owner,omitempty"`
+	At          time.Time         `json:"at"`
+	Reason      string            `json:"reason,omitempty"`
+	Changes     []Change          `json:"changes"`
+	// Before holds what the changed sections were; empty where there was none.
+	// In the head only the latest entry has it.
+	Before map[Section]SegmentHash `json:"before,omitempty"`
 }
 
 // PendingPlan holds the effects of a confirmed plan that are not carried out yet.
@@ -102,6 +104,9 @@
 	if e.Revision != h.Revision+1 {
 		return fmt.Errorf("revision %d does not follow %d; report this as a defect", e.Revision, h.Revision)
 	}
+	for n := range h.Recent {
+		h.Recent[n].Before = nil // archived
+	}
 	h.Revision = e.Revision
 	h.Sections = sections
 	h.Recent = append(h.Recent, e)
--- a/nutmegconf/history.go
+++ b/nutmegconf/history.go
@@ -39,6 +39,15 @@
 	return doc.Body, err
 }
 
+// before returns what the sections were that a revision changed.
+func (b *Book) before(ctx context.Context, head Head, revision nutmegid.Revision) (map[Section]SegmentHash, error) {
+	if e, ok := head.entry(revision); ok && revision == head.Revision {
+		return e.Before, nil
+	}
+	doc, err := nutmegstore.Read[Entry](ctx, b.cfg.Store, historyKey(revision))
+	return doc.Body.Before, err
+}
+
 // archive writes the history of the head's revision, before the next one is
 // added. So only the latest entry may be in the head alone.
 func (b *Book) archive(ctx context.Context, head Head) error {
@@ -60,11 +69,11 @@
 	}
 	sections := maps.Clone(head.Sections)
 	for at := head.Revision; at > revision; at-- {
-		e, err := b.entry(ctx, head, at)
+		before, err := b.before(ctx, head, at)
 		if err != nil {
 			return nil, err
 		}
-		for section, hash := range e.Before {
+		for section, hash := range before {
 			sections[section] = hash
 			if hash == "" {
 				delete(sections, section)
--- a/nutmegconf/intent_upstream.go
+++ b/nutmegconf/intent_upstream.go
@@ -227,6 +227,10 @@
 
 // orderEngines plans an order to each named engine.
 func orderEngines(d *draft, i Intent) {
+	if !d.orders {
+		d.fault("give the order at the engine itself", "this fleet gives no orders to engines")
+		return
+	}
 	found, ok := d.named(i.Upstreams)
 	if !ok {
 		return
--- a/nutmegnode/apierror.go
+++ b/nutmegnode/apierror.go
@@ -18,6 +18,8 @@
 	Kind    string          `json:"kind"`
 	Message string          `json:"message"`
 	Run     nutmegroute.Ran `json:"run"`
+	// Plan is the new plan that is offered in place of a stale one.
+	Plan *nutmegconf.Plan `json:"plan,omitempty"`
 }
 
 // Error returns the message.
@@ -101,9 +103,20 @@
 func planError(err error) error {
 	var stale *nutmegconf.StalePlanError
 	var intent *nutmegconf.IntentError
+	var forbidden *nutmegconf.ForbiddenError
+	var unknown *nutmegconf.UnknownPlanError
+	var lost *nutmegconf.LostHeadError
 	switch {
 	case errors.As(err, &stale):
-		return refusal(http.StatusConflict, "stale_plan", err.Error())
+		refused := refusal(http.StatusConflict, "stale_plan", err.Error())
+		refused.Plan = stale.Fresh
+		return refused
+	case errors.As(err, &forbidden):
+		return refusal(http.StatusForbidden, "forbidden", err.Error())
+	case errors.As(err, &unknown):
+		return refusal(http.StatusNotFound, "unknown_plan", err.Error())
+	case errors.As(err, &lost):
+		return refusal(http.StatusServiceUnavailable, "lost_head", err.Error())
 	case errors.As(err, &intent):
 		return refusal(http.StatusUnprocessableEntity, "bad_intent", err.Error())
 	}
--- a/nutmegnode/budget.go
+++ b/nutmegnode/budget.go
@@ -1,13 +1,10 @@
 package nutmegnode
 
 import (
-	"context"
 	"fmt"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
-	"github.com/nutmegwind/nutmegwind/nutmegconf"
-	"github.com/nutmegwind/nutmegwind/nutmegstore"
 	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
@@ -37,18 +34,3 @@
 		Detail: fmt.Sprintf("settled %d, returned %d", c.Settled, c.Returned),
 	})
 }
-
-// topUps applies the budget part of confirmed plans.
-type topUps struct {
-	node *Node
-}
-
-// TopUp implements nutmegconf.Budgets.
-func (t topUps) TopUp(ctx context.Context, topUp nutmegconf.TopUp) error {
-	shard := nutmegbudget.ShardOf(topUp.Budget, t.node.cfg.Settings.Budget.Shards)
-	key := nutmegstore.Key{Kind: nutmegbudget.ShardKind, Name: nutmegbudget.ShardName(shard)}
-	_, err := nutmegstore.Update(ctx, t.node.writer, key, func(s *nutmegbudget.Shard) error {
-		return s.TopUp(topUp.Budget, topUp.ID, topUp.Tokens)
-	})
-	return err
-}
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -15,3 +15,12 @@
 	maxKeptAnswers     = 1000
 	streamStoreTimeout = 5 * time.Second // of the write that moves or closes a stream
 )
+
+// Bounds of bringing revisions into force and of showing them.
+const (
+	defaultHistory   = 20              // entries
+	followTimeout    = 4 * time.Second // of one try to bring a revision into force
+	followRetry      = 200 * time.Millisecond
+	settleTime       = 1500 * time.Millisecond // in which a new instance hears of the highest revision among peers
+	maxConfigSources = 4                       // that are asked for a segment
+)
--- /dev/null
+++ b/nutmegnode/effects.go
@@ -0,0 +1,217 @@
+package nutmegnode
+
+import (
+	"context"
+	"errors"
+	"fmt"
+
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+)
+
+type counter = metrics.Counter
+
+func newCounter() metrics.Counter {
+	return metrics.NewCounter()
+}
+
+// orderFunc gives an order to an engine, once per id. It reports false while
+// the order is under way.
+type orderFunc func(ctx context.Context, id nutmegconf.EffectID, u nutmegid.Upstream, o nutmegconf.EngineOrder) (bool, error)
+
+// effects carries out what confirmed plans do outside the configuration.
+type effects struct {
+	node *Node
+}
+
+// Apply implements nutmegconf.Effects.
+func (f effects) Apply(ctx context.Context, e nutmegconf.Effect) (bool, error) {
+	switch e.Kind {
+	case nutmegconf.EffectTopUp:
+		return f.budget(ctx, e, topUpBudget)
+	case nutmegconf.EffectLower:
+		return f.budget(ctx, e, lowerBudget)
+	case nutmegconf.EffectRemoveBudget:
+		return f.budget(ctx, e, removeBudget)
+	case nutmegconf.EffectRelease:
+		return f.release(ctx, e)
+	case nutmegconf.EffectOrder:
+		return f.order(ctx, e)
+	}
+	return false, fmt.Errorf("effect %q has the unknown kind %q; upgrade this instance", e.ID, e.Kind)
+}
+
+// budget changes the shard of a budget.
+func (f effects) budget(ctx context.Context, e nutmegconf.Effect, change func(*nutmegbudget.Shard, nutmegconf.Effect) (bool, error)) (bool, error) {
+	done := false
+	key := f.node.shardKey(nutmegbudget.ShardOf(e.Budget, f.node.cfg.Settings.Budget.Shards))
+	_, err := nutmegstore.Update(ctx, f.node.writer, key, func(s *nutmegbudget.Shard) error {
+		var err error
+		done, err = change(s, e)
+		return err
+	})
+	return done, err
+}
+
+func topUpBudget(s *nutmegbudget.Shard, e nutmegconf.Effect) (bool, error) {
+	return true, s.TopUp(e.Budget, nutmegid.TopUpID(e.ID), e.Tokens)
+}
+
+// lowerBudget takes what is free of the tokens that are still to be taken. How
+// many were taken is kept under the effect's id, so that the effect can be
+// carried out in steps and by several instances.
+func lowerBudget(s *nutmegbudget.Shard, e nutmegconf.Effect) (bool, error) {
+	b := s.Budgets[e.Budget]
+	if b == nil || b.Removed {
+		return true, nutmegstore.ErrUnchanged
+	}
+	id := nutmegid.TopUpID(e.ID)
+	taken := -b.TopUps[id]
+	take := min(e.Tokens-taken, b.Remaining())
+	if take <= 0 {
+		return lowered(b, taken, e), nutmegstore.ErrUnchanged
+	}
+	if err := s.SetLower(e.Budget, b.Prepaid-take); err != nil {
+		return false, err
+	}
+	b.TopUps[id] = -(taken + take)
+	return lowered(b, taken+take, e), nil
+}
+
+// lowered reports whether nothing more can be taken: all is taken, or what is
+// left of the budget is spent.
+func lowered(b *nutmegbudget.Budget, taken nutmegid.Tokens, e nutmegconf.Effect) bool {
+	return taken >= e.Tokens || (b.Leased() == 0 && b.Remaining() == 0)
+}
+
+// removeBudget gives up what is free until nothing is leased, and then removes
+// the budget, once per effect.
+func removeBudget(s *nutmegbudget.Shard, e nutmegconf.Effect) (bool, error) {
+	b := s.Budgets[e.Budget]
+	id := nutmegid.TopUpID(e.ID)
+	if b == nil || b.Removed {
+		return true, nutmegstore.ErrUnchanged
+	}
+	if _, ok := b.TopUps[id]; ok {
+		return true, nutmegstore.ErrUnchanged
+	}
+	if b.Leased() == 0 && len(b.Transfers) == 0 {
+		b.TopUps[id] = 0
+		return true, s.Remove(e.Budget)
+	}
+	if b.Remaining() == 0 {
+		return false, nutmegstore.ErrUnchanged
+	}
+	return false, s.SetLower(e.Budget, b.Prepaid-b.Remaining())
+}
+
+// release ends the leases of an incarnation in all shards.
+func (f effects) release(ctx context.Context, e nutmegconf.Effect) (bool, error) {
+	for shard := range f.node.cfg.Settings.Budget.Shards {
+		_, err := nutmegstore.Update(ctx, f.node.writer, f.node.shardKey(shard), func(s *nutmegbudget.Shard) error {
+			_, err := s.Release(e.Incarnation)
+			if nutmegbudget.IsKind(err, nutmegbudget.KindUnknownHolder) {
+				return nutmegstore.ErrUnchanged
+			}
+			return err
+		})
+		if err != nil {
+			return false, err
+		}
+	}
+	return true, nil
+}
+
+func (f effects) order(ctx context.Context, e nutmegconf.Effect) (bool, error) {
+	if f.node.orderEngine == nil || e.Order == nil {
+		return false, errors.New("this instance gives no orders to engines; another one has to")
+	}
+	return f.node.orderEngine(ctx, e.ID, e.Upstream, *e.Order)
+}
+
+func (n *Node) shardKey(shard int) nutmegstore.Key {
+	return nutmegstore.Key{Kind: nutmegbudget.ShardKind, Name: nutmegbudget.ShardName(shard)}
+}
+
+// live is the state that plans are made against. It reads each shard once.
+type live struct {
+	node   *Node
+	shards map[int]nutmegbudget.Shard
+}
+
+func (n *Node) newLive() nutmegconf.Live {
+	return &live{node: n, shards: make(map[int]nutmegbudget.Shard)}
+}
+
+func (l *live) shard(ctx context.Context, number int) (nutmegbudget.Shard, error) {
+	if s, ok := l.shards[number]; ok {
+		return s, nil
+	}
+	doc, err := nutmegstore.Read[nutmegbudget.Shard](ctx, l.node.writer, l.node.shardKey(number))
+	if err != nil && !nutmegstore.IsKind(err, nutmegstore.KindNotFound) {
+		return doc.Body, err
+	}
+	l.shards[number] = doc.Body
+	return doc.Body, nil
+}
+
+// Budget implements nutmegconf.Live.
+func (l *live) Budget(ctx context.Context, id nutmegid.BudgetID) (nutmegconf.BudgetState, error) {
+	s, err := l.shard(ctx, nutmegbudget.ShardOf(id, l.node.cfg.Settings.Budget.Shards))
+	b := s.Budgets[id]
+	if err != nil || b == nil || b.Removed {
+		return nutmegconf.BudgetState{}, err
+	}
+	state := nutmegconf.BudgetState{Exists: true, Prepaid: b.Prepaid, Spent: b.Spent, Leased: b.Leased()}
+	for _, lease := range b.Leases {
+		if !lease.Released {
+			state.Holders++
+		}
+	}
+	return state, nil
+}
+
+// Holding implements nutmegconf.Live.
+func (l *live) Holding(ctx context.Context, incarnation nutmegid.Incarnation) (nutmegid.Tokens, error) {
+	var held nutmegid.Tokens
+	known := false
+	for number := range l.node.cfg.Settings.Budget.Shards {
+		s, err := l.shard(ctx, number)
+		if err != nil {
+			return 0, err
+		}
+		for _, b := range s.Budgets {
+			if lease := b.Leases[incarnation]; lease != nil && !lease.Released {
+				held += lease.Tokens
+				known = true
+			}
+		}
+	}
+	if !known {
+		return 0, fmt.Errorf("incarnation %q holds no lease", incarnation)
+	}
+	return held, nil
+}
+
+// InFlight implements nutmegconf.Live.
+func (l *live) InFlight() int {
+	return int(l.node.inProgress.Load())
+}
+
+// Instances implements nutmegconf.Live.
+func (l *live) Instances(incarnation nutmegid.Incarnation) (int, bool) {
+	alive, found := 1, incarnation == l.node.incarnation
+	for _, m := range l.node.peers.Members() {
+		if m.State == nutmegpeer.StateDead {
+			continue
+		}
+		alive++
+		found = found || (m.Incarnation == incarnation && m.State != nutmegpeer.StateSuspect)
+	}
+	return alive, found
+}
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -58,6 +58,10 @@
 	writer      *nutmegstore.Writer
 	view        *nutmegconf.View
 	book        *nutmegconf.Book
+	rollout     *nutmegconf.Rollout
+	follower    *follower
+	completer   *nutmegconf.Completer
+	orderEngine orderFunc // nil while engines take no orders
 	holder      *nutmegbudget.Holder
 	ledger      *nutmegledger.Writer
 	desk        *nutmegorder.Desk
@@ -69,13 +73,14 @@
 	answers     *answers
 	keepUnread  time.Duration
 
-	callers   *http.Server
-	operators *http.Server
-	addresses Addresses
-	stopping  atomic.Bool
-	running   sync.WaitGroup // requests in progress
-	watchStop context.CancelFunc
-	watchDone chan struct{}
+	callers    *http.Server
+	operators  *http.Server
+	addresses  Addresses
+	stopping   atomic.Bool
+	running    sync.WaitGroup // requests in progress
+	inProgress atomic.Int64   // the same, counted
+	watchStop  context.CancelFunc
+	watchDone  chan struct{}
 }
 
 // Addresses are where a started node listens.
@@ -110,6 +115,7 @@
 	n.buildBudget()
 	n.buildRouting()
 	n.buildAnswers()
+	n.buildConfig()
 	return n, nil
 }
 
@@ -125,7 +131,6 @@
 		OnState:         n.storeState,
 	})
 	n.writer = nutmegstore.NewWriter(n.client, n.incarnation)
-	n.book = nutmegconf.NewBook(nutmegconf.BookConfig{Store: n.writer, Budgets: topUps{n}})
 	n.desk = nutmegorder.NewDesk(n.writer, n.incarnation)
 	n.ledger = nutmegledger.NewWriter(nutmegledger.WriterConfig{
 		Store:       n.writer,
@@ -169,8 +174,10 @@
 	n.ledger.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.watchStop = cancel
+	n.completer.Start()
+	go n.follower.run(ctx)
 	go n.watchLoop(ctx)
-	n.callers = n.serve(callers, n.callerHandler())
+	n.callers = n.serve(callers, n.counted(n.callerHandler()))
 	n.operators = n.serve(operators, n.operatorHandler())
 	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStart, Detail: string(n.incarnation)})
 	n.log.WithField("incarnation", n.incarnation).Info("instance started")
@@ -188,11 +195,14 @@
 			FailureDomain: s.Instance.FailureDomain,
 			Address:       n.addresses.Peers,
 		},
-		Seeds:    s.Peers.Seeds,
-		Dial:     n.cfg.Dial,
-		Clock:    n.ring.Clock(),
-		Revision: n.revision,
-		Metrics:  n.metrics,
+		Seeds:      s.Peers.Seeds,
+		Dial:       n.cfg.Dial,
+		Clock:      n.ring.Clock(),
+		Revision:   n.revision,
+		OnRevision: n.follower.heard,
+		Library:    library{n.rollout},
+		Health:     n.health,
+		Metrics:    n.metrics,
 	})
 }
 
@@ -237,21 +247,41 @@
 	failed := n.callers.Shutdown(ctx)
 	n.drain(ctx)
 	failed = errors.Join(failed, n.holder.Stop(ctx), n.ledger.Stop(ctx))
-	n.watchStop()
-	<-n.watchDone
+	n.stopFollowing()
 	n.peers.Stop()
 	failed = errors.Join(failed, n.operators.Shutdown(ctx))
 	n.log.Info("instance stopped")
 	return failed
 }
 
+func (n *Node) stopFollowing() {
+	n.watchStop()
+	<-n.watchDone
+	<-n.follower.done
+	n.completer.Stop()
+}
+
+// counted counts the callers' requests in progress.
+func (n *Node) counted(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.inProgress.Add(1)
+		defer n.inProgress.Add(-1)
+		h.ServeHTTP(w, r)
+	})
+}
+
+// health is what peers are told of this instance.
+func (n *Node) health() (uint32, bool) {
+	return uint32(max(0, n.inProgress.Load())), n.notReady() == ""
+}
+
 // Kill ends the instance at once, as a crash of its process does: nothing is
 // settled, returned or told.
 func (n *Node) Kill() {
 	n.stopping.Store(true)
 	_ = n.callers.Close()
 	_ = n.operators.Close()
-	n.watchStop()
+	n.stopFollowing()
 	n.sender.Abandon()
 	n.answers.cancelAll(errAbandoned)
 	n.holder.Abandon()
--- a/nutmegnode/operators.go
+++ b/nutmegnode/operators.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/go-chi/chi/v5"
@@ -26,6 +28,7 @@
 		r.Get("/v1/status", n.operator(nutmegconf.RoleReader, n.status))
 		r.Get("/v1/bill", n.operator(nutmegconf.RoleReader, n.bill))
 		r.Get("/v1/events", n.operator(nutmegconf.RoleReader, n.events))
+		r.Get("/v1/history", n.operator(nutmegconf.RoleReader, n.history))
 		r.Post("/v1/plans", n.operator(nutmegconf.RoleOperator, n.plan))
 		r.Post("/v1/plans/{plan}/confirm", n.operator(nutmegconf.RoleOperator, n.confirm))
 	})
@@ -38,6 +41,10 @@
 	nutmegconf.OperatorConfig
 }
 
+func (a actor) actor() nutmegconf.Actor {
+	return nutmegconf.Actor{Name: a.name, Owner: a.Owner}
+}
+
 // bootstrapActor acts until the first operator is configured.
 const bootstrapActor = "bootstrap"
 
@@ -91,6 +98,7 @@
 	Instance    nutmegid.Instance      `json:"instance"`
 	Incarnation nutmegid.Incarnation   `json:"incarnation"`
 	Revision    nutmegid.Revision      `json:"revision"`
+	Pending     []nutmegconf.Effect    `json:"pending_effects,omitempty"` // of confirmed plans
 	StoreUp     bool                   `json:"store_up"`
 	NotReady    string                 `json:"not_ready,omitempty"`
 	Balances    []nutmegbudget.Balance `json:"balances"`
@@ -102,6 +110,7 @@
 		Instance:    n.cfg.Settings.Instance.Name,
 		Incarnation: n.incarnation,
 		Revision:    n.revision(),
+		Pending:     n.follower.pending(),
 		StoreUp:     n.client.Up(),
 		NotReady:    n.notReady(),
 		Balances:    n.holder.Balances(),
@@ -143,7 +152,7 @@
 	if err := decoder.Decode(&req); err != nil {
 		return refusal(http.StatusBadRequest, "bad_body", "the body is no plan request: "+err.Error())
 	}
-	plan, err := n.book.Plan(r.Context(), a.name, req.Reason, req.Intents)
+	plan, err := n.book.Plan(r.Context(), a.actor(), req.Reason, req.Intents)
 	if err != nil {
 		return planError(err)
 	}
@@ -153,18 +162,46 @@
 }
 
 // Confirmation is the answer to a confirmed plan.
-type Confirmation struct {
-	Plan     nutmegid.PlanID   `json:"plan"`
-	Revision nutmegid.Revision `json:"revision"`
-}
+type Confirmation = nutmegconf.Confirmation
 
-func (n *Node) confirm(w http.ResponseWriter, r *http.Request, _ actor) error {
+func (n *Node) confirm(w http.ResponseWriter, r *http.Request, a actor) error {
 	id := nutmegid.PlanID(chi.URLParam(r, "plan"))
-	revision, err := n.book.Confirm(r.Context(), id)
+	done, err := n.book.Confirm(r.Context(), a.actor(), id)
 	if err != nil {
 		return planError(err)
 	}
-	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindConfirm, Revision: revision, Detail: string(id)})
-	writeJSON(w, http.StatusOK, Confirmation{Plan: id, Revision: revision})
+	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindConfirm, Revision: done.Revision, Detail: string(id)})
+	writeJSON(w, http.StatusOK, done)
+	return nil
+}
+
+// history answers who changed what, when and why, the latest first.
+func (n *Node) history(w http.ResponseWriter, r *http.Request, _ actor) error {
+	from, err := number(r, "from", 0)
+	if err != nil {
+		return err
+	}
+	limit, err := number(r, "limit", defaultHistory)
+	if err != nil {
+		return err
+	}
+	entries, err := n.book.History(r.Context(), nutmegid.Revision(from), int(limit))
+	if err != nil {
+		return err
+	}
+	writeJSON(w, http.StatusOK, entries)
 	return nil
 }
+
+// number reads a number of the query.
+func number(r *http.Request, name string, absent uint64) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return absent, nil
+	}
+	v, err := strconv.ParseUint(text, 10, 31)
+	if err != nil {
+		return 0, refusal(http.StatusBadRequest, "bad_query", fmt.Sprintf("%s %q is no number; leave it out or give one", name, text))
+	}
+	return v, nil
+}
--- a/nutmegnode/routing.go
+++ b/nutmegnode/routing.go
@@ -6,7 +6,6 @@
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegroute"
-	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
 func (n *Node) buildRouting() {
@@ -30,8 +29,6 @@
 		targets = append(targets, nutmegroute.Target{Upstream: name, URL: u.URL, Models: u.Models, Routes: u.Routes})
 	}
 	n.pool.Set(targets)
-	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindRevision, Revision: c.Revision})
-	n.log.WithField("revision", c.Revision).Info("configuration in force")
 }
 
 func priorityLevel(p nutmegconf.Priority) nutmegroute.Priority {
--- /dev/null
+++ b/nutmegpeer/config.go
@@ -0,0 +1,90 @@
+package nutmegpeer
+
+import (
+	"context"
+	"errors"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer/peerpb"
+)
+
+// Library gives the configuration in force to peers.
+type Library interface {
+	// Revision returns the revision in force and its head, 0 before the first.
+	Revision() (nutmegid.Revision, []byte)
+	// Segment returns a segment that the revision consists of.
+	Segment(ctx context.Context, hash string) ([]byte, error)
+}
+
+// FetchRevision asks a peer for the head of the configuration in force there.
+func (p *Peers) FetchRevision(ctx context.Context, address string) (nutmegid.Revision, []byte, error) {
+	req := &peerpb.RevisionRequest{Fleet: p.cfg.Fleet}
+	var err error
+	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
+		return 0, nil, err
+	}
+	var reply *peerpb.RevisionReply
+	err = p.callContext(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		var err error
+		reply, err = client.FetchRevision(ctx, req)
+		return err
+	})
+	if err != nil {
+		return 0, nil, err
+	}
+	if err := p.verify(reply); err != nil {
+		return 0, nil, err
+	}
+	return nutmegid.Revision(reply.GetRevision()), reply.GetHead(), nil
+}
+
+// FetchSegment asks a peer for a segment. The caller checks it against its hash.
+func (p *Peers) FetchSegment(ctx context.Context, address, hash string) ([]byte, error) {
+	req := &peerpb.SegmentRequest{Fleet: p.cfg.Fleet, Hash: hash}
+	var err error
+	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
+		return nil, err
+	}
+	var reply *peerpb.SegmentReply
+	err = p.callContext(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		var err error
+		reply, err = client.FetchSegment(ctx, req)
+		return err
+	})
+	return reply.GetContent(), err
+}
+
+var errNoConfiguration = errors.New("this instance has no configuration; ask another peer")
+
+// FetchRevision implements peerpb.DRPCPeerServer.
+func (s *server) FetchRevision(_ context.Context, r *peerpb.RevisionRequest) (*peerpb.RevisionReply, error) {
+	if err := s.peers.verify(r); err != nil {
+		return nil, err
+	}
+	if s.peers.cfg.Library == nil {
+		return nil, errNoConfiguration
+	}
+	revision, head := s.peers.cfg.Library.Revision()
+	if revision == 0 {
+		return nil, errNoConfiguration
+	}
+	reply := &peerpb.RevisionReply{Fleet: s.peers.cfg.Fleet, Revision: uint64(revision), Head: head}
+	var err error
+	reply.Mac, err = sign(s.peers.cfg.Key, reply)
+	return reply, err
+}
+
+// FetchSegment implements peerpb.DRPCPeerServer.
+func (s *server) FetchSegment(ctx context.Context, r *peerpb.SegmentRequest) (*peerpb.SegmentReply, error) {
+	if err := s.peers.verify(r); err != nil {
+		return nil, err
+	}
+	if s.peers.cfg.Library == nil {
+		return nil, errNoConfiguration
+	}
+	content, err := s.peers.cfg.Library.Segment(ctx, r.GetHash())
+	if err != nil {
+		return nil, err
+	}
+	return &peerpb.SegmentReply{Content: content}, nil
+}
--- a/nutmegpeer/conn.go
+++ b/nutmegpeer/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"sync"
+	"time"
 
 	"storj.io/drpc/drpcconn"
 
@@ -13,47 +15,154 @@
 type conn struct {
 	address string
 	dialer  DialFunc
+	turn    chan struct{} // holds one token while a call runs
 
-	mu   sync.Mutex
 	drpc *drpcconn.Conn
+
+	mu   sync.Mutex
+	used time.Time
 }
 
 func newConn(address string, dialer DialFunc) *conn {
-	return &conn{address: address, dialer: dialer}
+	return &conn{address: address, dialer: dialer, turn: make(chan struct{}, 1)}
 }
 
-// call runs fn, dialing first where there is no connection.
+// call runs fn, dialing first where there is no connection. A call that fails
+// or gets no answer until ctx ends closes the connection, so that the next one
+// dials anew: a connection that went silent lasts no longer than one call.
 func (c *conn) call(ctx context.Context, fn func(context.Context, peerpb.DRPCPeerClient) error) error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+	select {
+	case c.turn <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-c.turn }()
+	c.touch()
 	if err := c.dial(ctx); err != nil {
 		return err
 	}
 	err := fn(ctx, peerpb.NewDRPCPeerClient(c.drpc))
 	if err != nil {
-		_ = c.drpc.Close()
-		c.drpc = nil
+		c.drop()
 	}
 	return err
 }
 
 func (c *conn) dial(ctx context.Context) error {
-	if c.drpc != nil {
+	if c.drpc != nil && !isClosed(c.drpc) {
 		return nil
 	}
+	c.drop()
 	raw, err := c.dialer(ctx, "tcp", c.address)
 	if err != nil {
 		return err
 	}
-	c.drpc = drpcconn.New(raw)
+	c.drpc = drpcconn.NewWithOptions(raw, drpcconn.Options{Manager: managerOptions()})
 	return nil
 }
 
-func (c *conn) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func isClosed(d *drpcconn.Conn) bool {
+	select {
+	case <-d.Closed():
+		return true
+	default:
+		return false
+	}
+}
+
+// drop closes the connection. The caller holds the turn.
+func (c *conn) drop() {
 	if c.drpc != nil {
 		_ = c.drpc.Close()
 		c.drpc = nil
 	}
 }
+
+func (c *conn) touch() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.used = time.Now()
+}
+
+func (c *conn) idleSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.used
+}
+
+// close ends the connection after the call that runs on it.
+func (c *conn) close() {
+	c.turn <- struct{}{}
+	defer func() { <-c.turn }()
+	c.drop()
+}
+
+// connPool holds one connection for each peer that was called lately.
+type connPool struct {
+	dialer DialFunc
+
+	mu    sync.Mutex
+	conns map[string]*conn
+}
+
+func newConnPool(dialer DialFunc) *connPool {
+	return &connPool{dialer: dialer, conns: make(map[string]*conn)}
+}
+
+func (p *connPool) get(address string) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c, ok := p.conns[address]
+	if !ok {
+		c = newConn(address, p.dialer)
+		c.touch()
+		p.conns[address] = c
+	}
+	return c
+}
+
+// closeIdle closes connections that were not used since a time.
+func (p *connPool) closeIdle(since time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, c := range p.conns {
+		if c.idleSince().After(since) {
+			continue
+		}
+		delete(p.conns, address)
+		c.close()
+	}
+}
+
+func (p *connPool) close() {
+	p.closeIdle(time.Now().Add(time.Hour))
+}
+
+// quietListener closes accepted connections that are silent for too long, so
+// that dead ones do not gather.
+type quietListener struct {
+	net.Listener
+	timeout time.Duration
+}
+
+// Accept implements net.Listener.
+func (l quietListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return quietConn{Conn: c, timeout: l.timeout}, nil
+}
+
+type quietConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Read implements net.Conn with a timeout of silence.
+func (c quietConn) Read(b []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(b)
+}
--- a/nutmegpeer/mac.go
+++ b/nutmegpeer/mac.go
@@ -6,13 +6,14 @@
 	"errors"
 
 	"google.golang.org/protobuf/proto"
-
-	"github.com/nutmegwind/nutmegwind/nutmegpeer/peerpb"
 )
 
 // errForeign refuses messages that do not carry the fleet's authentication code.
 var errForeign = errors.New("message is not authenticated for this fleet; give all instances the same peers.key and instance.fleet")
 
+// errDamaged refuses messages that are incomplete or over their bounds.
+var errDamaged = errors.New("message is damaged or too large; upgrade all instances to the same version")
+
 // signed is a message with an authentication code.
 type signed interface {
 	proto.Message
@@ -50,13 +51,8 @@
 	return nil
 }
 
+// clearMac empties the authentication code of any message.
 func clearMac(m proto.Message) {
-	switch m := m.(type) {
-	case *peerpb.Digest:
-		m.Mac = nil
-	case *peerpb.TransferRequest:
-		m.Mac = nil
-	case *peerpb.TransferAck:
-		m.Mac = nil
-	}
+	r := m.ProtoReflect()
+	r.Clear(r.Descriptor().Fields().ByName("mac"))
 }
--- a/nutmegpeer/members.go
+++ b/nutmegpeer/members.go
@@ -1,11 +1,6 @@
 package nutmegpeer
 
 import (
-	"cmp"
-	"slices"
-	"sync"
-	"time"
-
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegpeer/peerpb"
 )
@@ -13,13 +8,16 @@
 // State is what an instance believes of a peer. It never frees tokens or orders.
 type State string
 
-// The states of a peer.
+// The states of a peer, each overriding the ones before at the same heartbeat.
 const (
 	StateAlive   State = "alive"
-	StateSuspect State = "suspect"
-	StateLeaving State = "leaving"
+	StateSuspect State = "suspect" // did not answer; may refute it by a higher heartbeat
+	StateLeaving State = "leaving" // takes no new work, by its own word
+	StateDead    State = "dead"    // suspected for long, or ended by its own word; forgotten after a while
 )
 
+var stateRank = map[State]int{StateAlive: 1, StateSuspect: 2, StateLeaving: 3, StateDead: 4}
+
 // Member is one instance as its peers know it.
 type Member struct {
 	Instance      nutmegid.Instance      `json:"instance"`
@@ -29,6 +27,8 @@
 	Heartbeat     uint64                 `json:"heartbeat"`
 	State         State                  `json:"state"`
 	Revision      nutmegid.Revision      `json:"revision"`
+	Load          uint32                 `json:"load"` // requests in progress
+	Ready         bool                   `json:"ready"`
 }
 
 func (m Member) proto() *peerpb.Member {
@@ -40,6 +40,8 @@
 		Heartbeat:     m.Heartbeat,
 		State:         string(m.State),
 		Revision:      uint64(m.Revision),
+		Load:          m.Load,
+		Ready:         m.Ready,
 	}
 }
 
@@ -52,55 +54,21 @@
 		Heartbeat:     p.GetHeartbeat(),
 		State:         State(p.GetState()),
 		Revision:      nutmegid.Revision(p.GetRevision()),
+		Load:          p.GetLoad(),
+		Ready:         p.GetReady(),
 	}
 }
 
-type record struct {
-	member  Member
-	heardAt time.Time
-}
-
-// table holds the known members, one per incarnation.
-type table struct {
-	now          func() time.Time
-	suspectAfter time.Duration
-
-	mu      sync.Mutex
-	records map[nutmegid.Incarnation]record
-}
-
-func newTable(now func() time.Time, suspectAfter time.Duration) *table {
-	return &table{now: now, suspectAfter: suspectAfter, records: make(map[nutmegid.Incarnation]record)}
-}
-
-// merge takes in a member if its heartbeat is newer than the known one.
-func (t *table) merge(m Member) {
-	if m.Incarnation == "" {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	known, ok := t.records[m.Incarnation]
-	if ok && known.member.Heartbeat >= m.Heartbeat {
-		return
-	}
-	t.records[m.Incarnation] = record{member: m, heardAt: t.now()}
+// valid reports whether a received member is complete.
+func (m Member) valid() bool {
+	return m.Incarnation != "" && m.Address != "" && stateRank[m.State] > 0 &&
+		len(m.Incarnation)+len(m.Address)+len(m.Instance)+len(m.FailureDomain) <= maxMemberBytes
 }
 
-// members returns all known members, ordered by instance.
-func (t *table) members() []Member {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	members := make([]Member, 0, len(t.records))
-	for _, r := range t.records {
-		m := r.member
-		if m.State == StateAlive && t.now().Sub(r.heardAt) > t.suspectAfter {
-			m.State = StateSuspect
-		}
-		members = append(members, m)
+// overrides reports whether m is newer than what is known of the same incarnation.
+func (m Member) overrides(known Member) bool {
+	if m.Heartbeat != known.Heartbeat {
+		return m.Heartbeat > known.Heartbeat
 	}
-	slices.SortFunc(members, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
-	return members
+	return stateRank[m.State] > stateRank[known.State]
 }
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -1,30 +1,39 @@
 // Package nutmegpeer keeps the instances of a fleet in touch over drpc: who
-// is there, which configuration revision each has, and requests for tokens
-// between them.
+// is there, which configuration revision each has, small pieces of gossip, and
+// calls between instances.
 //
 // # Usage
 //
 //	peers := nutmegpeer.New(nutmegpeer.Config{Fleet: "kaca", Key: key, Self: member, Seeds: seeds})
+//	peers.Gossip().Register("suspects", nutmegpeer.ItemRule{MaxItems: 64, MaxBytes: 512, OnItem: fn})
 //	err := peers.Start(listener)
 //	for _, m := range peers.Members() { ... }
 //	peers.Stop()
 //
-// Each round talks to a few random peers, whatever the size of the fleet.
+// Each round exchanges digests of bounded size with a few peers, whatever the
+// size of the fleet: the members in turn, news first. A peer that does not
+// answer is suspected; it refutes that with a higher heartbeat once it hears
+// of it, and is dead after a while if it does not. A new configuration revision
+// is told at once, not in the next round. Membership is a hint for liveness
+// only: it never frees tokens or orders.
+//
 // Messages carry an HMAC over the fleet's key; foreign ones are refused and
-// counted. Membership is a hint for liveness only.
+// counted. For TLS, dial with tls.Dialer.DialContext and listen with
+// tls.NewListener.
 package nutmegpeer
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
+	"storj.io/drpc/drpcwire"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegpeer/peerpb"
@@ -33,20 +42,24 @@
 
 // Config configures a set of peers.
 type Config struct {
-	Fleet        string
-	Key          []byte
-	Self         Member // heartbeat, state and revision are filled in
-	Seeds        []string
-	Dial         DialFunc      // net.Dialer when nil
-	Interval     time.Duration // DefaultInterval when zero
-	Fanout       int           // DefaultFanout when zero
-	CallTimeout  time.Duration // DefaultCallTimeout when zero
-	SuspectAfter time.Duration // DefaultSuspectAfter when zero
-	Clock        *nutmegtime.Clock
-	Giver        Giver
-	Revision     func() nutmegid.Revision
-	OnRevision   func(from string, revision nutmegid.Revision) // a peer has a higher revision
-	Metrics      metrics.Registry                              // a private registry when nil
+	Fleet       string
+	Key         []byte
+	Self        Member // heartbeat, state, revision, load and ready are filled in
+	Seeds       []string
+	Dial        DialFunc      // net.Dialer when nil
+	Interval    time.Duration // between rounds; DefaultInterval when zero
+	Fanout      int           // peers of one round; DefaultFanout when zero
+	CallTimeout time.Duration // DefaultCallTimeout when zero
+	DeadAfter   time.Duration // of suspicion; DefaultDeadAfter when zero
+	KeepDead    time.Duration // DefaultKeepDead when zero
+	IdleTimeout time.Duration // of connections; DefaultIdleTimeout when zero
+	Clock       *nutmegtime.Clock
+	Giver       Giver
+	Library     Library
+	Revision    func() nutmegid.Revision
+	Health      func() (load uint32, ready bool)
+	OnRevision  func(from string, revision nutmegid.Revision) // a peer has a higher revision
+	Metrics     metrics.Registry                              // a private registry when nil
 }
 
 // DialFunc opens a connection to a peer.
@@ -56,31 +69,38 @@
 type Peers struct {
 	cfg       Config
 	table     *table
+	gossip    *Gossip
+	conns     *connPool
+	targets   targets
 	heartbeat atomic.Uint64
 	leaving   atomic.Bool
+	news      chan struct{} // a round is wanted now
 
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
 	served chan struct{}
-
-	mu    sync.Mutex
-	conns map[string]*conn
+	calls  sync.WaitGroup
 }
 
 // New returns peers that know only the seeds.
 func New(cfg Config) *Peers {
 	cfg = withDefaults(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
-	return &Peers{
+	p := &Peers{
 		cfg:    cfg,
-		table:  newTable(time.Now, cfg.SuspectAfter),
+		table:  newTable(time.Now, cfg.DeadAfter, cfg.KeepDead),
+		conns:  newConnPool(cfg.Dial),
+		news:   make(chan struct{}, 1),
 		ctx:    ctx,
 		cancel: cancel,
 		done:   make(chan struct{}),
 		served: make(chan struct{}),
-		conns:  make(map[string]*conn),
 	}
+	p.gossip = newGossip(time.Now, p.count)
+	p.targets.setSeeds(cfg.Seeds)
+	p.heartbeat.Store(1)
+	return p
 }
 
 func withDefaults(cfg Config) Config {
@@ -93,8 +113,14 @@
 	if cfg.CallTimeout == 0 {
 		cfg.CallTimeout = DefaultCallTimeout
 	}
-	if cfg.SuspectAfter == 0 {
-		cfg.SuspectAfter = DefaultSuspectAfter
+	if cfg.DeadAfter == 0 {
+		cfg.DeadAfter = DefaultDeadAfter
+	}
+	if cfg.KeepDead == 0 {
+		cfg.KeepDead = DefaultKeepDead
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = DefaultIdleTimeout
 	}
 	if cfg.Dial == nil {
 		cfg.Dial = (&net.Dialer{}).DialContext
@@ -108,16 +134,29 @@
 	if cfg.Revision == nil {
 		cfg.Revision = func() nutmegid.Revision { return 0 }
 	}
+	if cfg.Health == nil {
+		cfg.Health = func() (uint32, bool) { return 0, true }
+	}
 	return cfg
 }
 
+// managerOptions bounds the messages of both directions.
+func managerOptions() drpcmanager.Options {
+	return drpcmanager.Options{Reader: drpcwire.ReaderOptions{MaximumBufferSize: maxMessageBytes}}
+}
+
 // Start serves peers on the listener and begins the rounds.
 func (p *Peers) Start(l net.Listener) error {
 	mux := drpcmux.New()
 	if err := peerpb.DRPCRegisterPeer(mux, &server{peers: p}); err != nil {
 		return err
 	}
-	go p.run(drpcserver.New(mux), l)
+	s := drpcserver.NewWithOptions(mux, drpcserver.Options{
+		Manager: managerOptions(),
+		Log:     func(error) { p.count("peer_broken_connections") },
+	})
+	go p.run(s, quietListener{Listener: l, timeout: serverIdleFactor * p.cfg.IdleTimeout})
+	p.Announce()
 	go p.loop()
 	return nil
 }
@@ -127,10 +166,31 @@
 	_ = s.Serve(p.ctx, l)
 }
 
+// SetSeeds replaces the addresses that are tried besides the known members,
+// for example by those of the platform's list.
+func (p *Peers) SetSeeds(seeds []string) {
+	p.targets.setSeeds(seeds)
+}
+
+// Gossip spreads small items among all instances.
+func (p *Peers) Gossip() *Gossip {
+	return p.gossip
+}
+
+// Announce tells some peers at once what is new here.
+func (p *Peers) Announce() {
+	select {
+	case p.news <- struct{}{}:
+	default:
+	}
+}
+
 // Leave tells the peers that this instance takes no new work.
 func (p *Peers) Leave() {
 	p.leaving.Store(true)
-	p.round()
+	p.heartbeat.Add(1)
+	p.round(leaveFanout)
+	p.calls.Wait()
 }
 
 // Stop ends all exchanges.
@@ -138,22 +198,20 @@
 	p.cancel()
 	<-p.done
 	<-p.served
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.conns {
-		c.close()
-	}
+	p.calls.Wait()
+	p.conns.close()
 }
 
-// Members returns all known members but this one.
+// Members returns all known members but this one, also suspected and dead ones.
 func (p *Peers) Members() []Member {
 	return p.table.members()
 }
 
 func (p *Peers) self() Member {
 	m := p.cfg.Self
-	m.Heartbeat = p.heartbeat.Add(1)
+	m.Heartbeat = p.heartbeat.Load()
 	m.Revision = p.cfg.Revision()
+	m.Load, m.Ready = p.cfg.Health()
 	m.State = StateAlive
 	if p.leaving.Load() {
 		m.State = StateLeaving
@@ -169,44 +227,27 @@
 		select {
 		case <-p.ctx.Done():
 			return
+		case <-p.news:
+			p.round(newsFanout)
 		case <-ticker.C:
-			p.round()
+			p.heartbeat.Add(1)
+			p.table.age()
+			p.conns.closeIdle(time.Now().Add(-p.cfg.IdleTimeout))
+			p.round(p.cfg.Fanout)
 		}
 	}
 }
 
-// round exchanges digests with a few peers at once, so that one silent peer
-// does not hold up the others.
-func (p *Peers) round() {
-	var wait sync.WaitGroup
-	for _, address := range p.pick() {
-		wait.Go(func() { p.exchange(address) })
-	}
-	wait.Wait()
-}
-
-// pick chooses random addresses among members and seeds.
-func (p *Peers) pick() []string {
-	known := make(map[string]bool)
-	for _, m := range p.table.members() {
-		if m.State != StateLeaving {
-			known[m.Address] = true
-		}
-	}
-	for _, seed := range p.cfg.Seeds {
-		known[seed] = true
-	}
-	delete(known, p.cfg.Self.Address)
-	addresses := make([]string, 0, len(known))
-	for address := range known {
-		addresses = append(addresses, address)
+// round begins exchanges with n peers. Each runs by itself, so that one silent
+// peer does not hold up the others or the next round.
+func (p *Peers) round(n int) {
+	for _, address := range p.targets.pick(n, p.table.members(), p.cfg.Self.Address) {
+		p.calls.Go(func() { p.exchange(address) })
 	}
-	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	return addresses[:min(len(addresses), p.cfg.Fanout)]
 }
 
 func (p *Peers) exchange(address string) {
-	digest, err := p.digest()
+	digest, err := p.digest(address)
 	if err != nil {
 		return
 	}
@@ -217,23 +258,29 @@
 		}
 		return p.receive(reply)
 	})
+	if p.ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		p.count("peer_exchange_failures")
+		p.table.suspect(address)
 		return
 	}
 	p.count("peer_exchanges")
 }
 
-func (p *Peers) digest() (*peerpb.Digest, error) {
+func (p *Peers) digest(receiver string) (*peerpb.Digest, error) {
 	d := &peerpb.Digest{
 		Fleet:    p.cfg.Fleet,
 		Sender:   p.self().proto(),
+		Receiver: receiver,
 		Revision: uint64(p.cfg.Revision()),
 		Stamp:    p.cfg.Clock.Now().String(),
 	}
-	for _, m := range p.table.members() {
+	for _, m := range p.table.pick(maxDigestMembers, receiver) {
 		d.Members = append(d.Members, m.proto())
 	}
+	d.Items = p.gossip.pick(maxDigestItems, maxDigestItemBytes, p.table.size())
 	var err error
 	d.Mac, err = sign(p.cfg.Key, d)
 	return d, err
@@ -241,52 +288,70 @@
 
 // receive takes in a peer's digest.
 func (p *Peers) receive(d *peerpb.Digest) error {
-	if err := verify(p.cfg.Key, p.cfg.Fleet, d); err != nil {
-		p.count("peer_foreign_messages")
+	if err := p.verify(d); err != nil {
 		return err
 	}
+	sender := memberOf(d.GetSender())
+	if !sender.valid() || len(d.GetMembers()) > maxDigestMembers || len(d.GetItems()) > maxDigestItems {
+		p.count("peer_damaged_messages")
+		return errDamaged
+	}
 	if stamp, err := nutmegtime.ParseStamp(d.GetStamp()); err == nil {
 		p.cfg.Clock.Observe(stamp)
 	}
-	sender := memberOf(d.GetSender())
 	p.learn(sender)
 	for _, m := range d.GetMembers() {
 		p.learn(memberOf(m))
 	}
+	p.gossip.receive(d.GetItems())
 	if sender.Revision > p.cfg.Revision() && p.cfg.OnRevision != nil {
 		p.cfg.OnRevision(sender.Address, sender.Revision)
 	}
 	return nil
 }
 
+// learn takes in a member. What others believe of this instance is refuted
+// unless it is alive, or leaves indeed.
 func (p *Peers) learn(m Member) {
-	if m.Incarnation != p.cfg.Self.Incarnation {
-		p.table.merge(m)
+	if m.Incarnation == p.cfg.Self.Incarnation {
+		p.refute(m)
+		return
+	}
+	if !m.valid() {
+		p.count("peer_damaged_members")
+		return
+	}
+	p.table.merge(m)
+}
+
+func (p *Peers) refute(m Member) {
+	if m.State == StateAlive || m.State == StateLeaving {
+		return
+	}
+	if present := p.heartbeat.Load(); m.Heartbeat >= present {
+		p.heartbeat.CompareAndSwap(present, m.Heartbeat+1)
 	}
+	p.count("peer_refutations")
+}
+
+// verify checks the authentication code of a message and counts foreign ones.
+func (p *Peers) verify(m signed) error {
+	err := verify(p.cfg.Key, p.cfg.Fleet, m)
+	if err != nil {
+		p.count("peer_foreign_messages")
+	}
+	return err
 }
 
 func (p *Peers) call(address string, fn func(context.Context, peerpb.DRPCPeerClient) error) error {
 	return p.callContext(p.ctx, address, fn)
 }
 
-// callContext runs one call on the peer's connection. A failed call closes the
-// connection, so that the next call dials anew.
+// callContext runs one call on the peer's connection, within the call timeout.
 func (p *Peers) callContext(ctx context.Context, address string, fn func(context.Context, peerpb.DRPCPeerClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.CallTimeout)
 	defer cancel()
-	c := p.connOf(address)
-	return c.call(ctx, fn)
-}
-
-func (p *Peers) connOf(address string) *conn {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	c, ok := p.conns[address]
-	if !ok {
-		c = newConn(address, p.cfg.Dial)
-		p.conns[address] = c
-	}
-	return c
+	return p.conns.get(address).call(ctx, fn)
 }
 
 func (p *Peers) count(name string) {
@@ -305,5 +370,5 @@
 	if err := s.peers.receive(d); err != nil {
 		return nil, err
 	}
-	return s.peers.digest()
+	return s.peers.digest(d.GetSender().GetAddress())
 }
--- a/nutmegpeer/transfer.go
+++ b/nutmegpeer/transfer.go
@@ -64,8 +64,7 @@
 
 // Transfer implements peerpb.DRPCPeerServer.
 func (s *server) Transfer(_ context.Context, r *peerpb.TransferRequest) (*peerpb.TransferReply, error) {
-	if err := verify(s.peers.cfg.Key, s.peers.cfg.Fleet, r); err != nil {
-		s.peers.count("peer_foreign_messages")
+	if err := s.peers.verify(r); err != nil {
 		return nil, err
 	}
 	if s.peers.cfg.Giver == nil {
@@ -83,8 +82,7 @@
 
 // Acknowledge implements peerpb.DRPCPeerServer.
 func (s *server) Acknowledge(_ context.Context, a *peerpb.TransferAck) (*peerpb.Empty, error) {
-	if err := verify(s.peers.cfg.Key, s.peers.cfg.Fleet, a); err != nil {
-		s.peers.count("peer_foreign_messages")
+	if err := s.peers.verify(a); err != nil {
 		return nil, err
 	}
 	if s.peers.cfg.Giver != nil {
