Rewind a whole confirm in the broken rule of the configuration

A confirm now writes the head twice (the revision, then its effects as done), so going back one write left the revision as it was; and peers told a new instance of the later revision before anybody saw the older one. The broken rule goes back two writes and cuts the new instance off from its peers; it is caught as before.

--- a/nutmegstand/live.go
+++ b/nutmegstand/live.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -103,7 +104,11 @@
 }
 
 func (p *Platform) postRewind(w http.ResponseWriter, r *http.Request) {
-	if !p.Rewind(chi.URLParam(r, "kind"), 1) {
+	writes, err := strconv.Atoi(r.URL.Query().Get("writes"))
+	if err != nil {
+		writes = 1
+	}
+	if !p.Rewind(chi.URLParam(r, "kind"), writes) {
 		http.Error(w, "no earlier state of this kind is kept; set Rewindable", http.StatusConflict)
 	}
 }
--- a/nutmegtrace/control.go
+++ b/nutmegtrace/control.go
@@ -117,8 +117,11 @@
 	return zero
 }
 
+// rewoundWrites covers one confirm: it writes the revision, and then its effects as done.
+const rewoundWrites = "?writes=2"
+
 func (c control) rewind(ctx context.Context, kind string) error {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.target.PlatformURL+"/rewind/"+kind, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, c.target.PlatformURL+"/rewind/"+kind+rewoundWrites, nil)
 	if err != nil {
 		return err
 	}
--- a/nutmegtrace/soak.go
+++ b/nutmegtrace/soak.go
@@ -34,6 +34,8 @@
 	brokenBursts = 40   // in a run
 	brokenAnswer = 100  // tokens
 	brokenRepeat = 3    // chats of a burst
+
+	brokenInstance = "instance:0"
 )
 
 // Soak draws a trace of load and faults from a seed. Its outcome states the
@@ -168,6 +170,7 @@
 	switch kind {
 	case "config":
 		s.trace.Steps = append(s.trace.Steps,
+			Step{At: nutmegconf.Duration(s.length * 7 / 10), Do: ActionCut, From: brokenInstance, To: "peers"}, // they would tell the later revision
 			Step{At: nutmegconf.Duration(s.length * 8 / 10), Do: ActionPlatformRewind, Kind: kind},
 			Step{At: nutmegconf.Duration(s.length * 9 / 10), Do: ActionReplace, Instance: 0})
 		return
--- a/nutmegtrace/soak_test.go
+++ b/nutmegtrace/soak_test.go
@@ -38,6 +38,10 @@
 		switch s.Do {
 		case ActionPlatformUnchecked, ActionPlatformEdit, ActionPlatformRewind, ActionReplace, ActionOrder, ActionChat, ActionTopUp:
 			kept = append(kept, s)
+		case ActionCut:
+			if kind == "config" && s.From == brokenInstance && s.For == 0 {
+				kept = append(kept, s)
+			}
 		}
 	}
 	trace.Steps = kept
