--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -189,8 +189,9 @@
 func (p *Peers) Leave() {
 	p.leaving.Store(true)
 	p.heartbeat.Add(1)
-	p.round(leaveFanout)
-	p.calls.Wait()
+	var wait sync.WaitGroup
+	p.round(leaveFanout, &wait)
+	wait.Wait()
 }
 
 // Stop ends all exchanges.
@@ -228,21 +229,21 @@
 		case <-p.ctx.Done():
 			return
 		case <-p.news:
-			p.round(newsFanout)
+			p.round(newsFanout, &p.calls)
 		case <-ticker.C:
 			p.heartbeat.Add(1)
 			p.table.age()
 			p.conns.closeIdle(time.Now().Add(-p.cfg.IdleTimeout))
-			p.round(p.cfg.Fanout)
+			p.round(p.cfg.Fanout, &p.calls)
 		}
 	}
 }
 
 // round begins exchanges with n peers. Each runs by itself, so that one silent
 // peer does not hold up the others or the next round.
-func (p *Peers) round(n int) {
+func (p *Peers) round(n int, wait *sync.WaitGroup) {
 	for _, address := range p.targets.pick(n, p.table.members(), p.cfg.Self.Address) {
-		p.calls.Go(func() { p.exchange(address) })
+		wait.Go(func() { p.exchange(address) })
 	}
 }
 
