--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -24,3 +24,11 @@
 	settleTime       = 1500 * time.Millisecond // in which a new instance hears of the highest revision among peers
 	maxConfigSources = 4                       // that are asked for a segment
 )
+
+const (
+	liveInterval       = time.Second // between two reads of the platform's live list
+	liveReadsPerSecond = 50          // of the live list by the whole fleet
+	liveTimeout        = 2 * time.Second
+	maxLiveBytes       = 8 << 20
+	probeIdleLimit     = 5 * time.Second // of connections to upstreams that are kept for probes
+)
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -67,6 +67,7 @@
 	desk        *nutmegorder.Desk
 	pool        *nutmegroute.Pool
 	sender      *nutmegroute.Sender
+	router      *router
 	peers       *nutmegpeer.Peers
 	signer      *nutmegroute.Signer
 	streams     streamOwners
@@ -177,6 +178,7 @@
 	n.completer.Start()
 	go n.follower.run(ctx)
 	go n.watchLoop(ctx)
+	n.router.start()
 	n.callers = n.serve(callers, n.counted(n.callerHandler()))
 	n.operators = n.serve(operators, n.operatorHandler())
 	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStart, Detail: string(n.incarnation)})
@@ -248,6 +250,7 @@
 	n.drain(ctx)
 	failed = errors.Join(failed, n.holder.Stop(ctx), n.ledger.Stop(ctx))
 	n.stopFollowing()
+	n.router.stop()
 	n.peers.Stop()
 	failed = errors.Join(failed, n.operators.Shutdown(ctx))
 	n.log.Info("instance stopped")
@@ -282,6 +285,7 @@
 	_ = n.callers.Close()
 	_ = n.operators.Close()
 	n.stopFollowing()
+	n.router.stop()
 	n.sender.Abandon()
 	n.answers.cancelAll(errAbandoned)
 	n.holder.Abandon()
--- a/nutmegnode/routing.go
+++ b/nutmegnode/routing.go
@@ -16,6 +16,7 @@
 	n.sender = nutmegroute.NewSender(nutmegroute.SenderConfig{
 		Pool: n.pool, Dial: n.cfg.Dial, IdleTimeout: time.Duration(n.cfg.Settings.Limits.UpstreamIdle),
 	})
+	n.router = newRouter(n)
 	n.view.OnApply(n.applied)
 }
 
--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -80,7 +80,8 @@
 	reportHalfLife = 2 * time.Second
 	historySize    = 32
 	historyStep    = 50 * time.Millisecond
-	retiredKept    = time.Hour // of the address of a retired upstream
+	liveListTrust  = time.Minute // after which the platform's list overrules a note
+	retiredKept    = time.Hour   // of the address of a retired upstream
 	slowStart      = 10 * time.Second
 	slowStartShare = 0.1 // of the full weight at the begin of a slow start
 )
--- a/nutmegroute/leaving.go
+++ b/nutmegroute/leaving.go
@@ -9,9 +9,9 @@
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
-// LeavingNote says that an upstream is leaving, or is back. Serial is the
-// version of the platform's live object that said so; the higher one holds,
-// and between equal ones the note that says leaving.
+// LeavingNote says that an upstream is leaving, or is back. Each change raises
+// Serial; the higher one holds, and between equal ones the note that says
+// leaving.
 type LeavingNote struct {
 	Upstream nutmegid.Upstream `json:"upstream"`
 	Serial   uint64            `json:"serial"`
@@ -28,13 +28,42 @@
 
 // Leaving is what an instance knows of leaving upstreams.
 type Leaving struct {
-	mu    sync.Mutex
-	notes map[nutmegid.Upstream]LeavingNote
+	mu     sync.Mutex
+	notes  map[nutmegid.Upstream]LeavingNote
+	listed map[nutmegid.Upstream]listed
+}
+
+// listed is what this instance has read of an upstream in the platform's list.
+type listed struct {
+	leaving bool
+	since   moment
 }
 
 // NewLeaving returns a record without notes.
 func NewLeaving() *Leaving {
-	return &Leaving{notes: make(map[nutmegid.Upstream]LeavingNote)}
+	return &Leaving{
+		notes:  make(map[nutmegid.Upstream]LeavingNote),
+		listed: make(map[nutmegid.Upstream]listed),
+	}
+}
+
+// list takes in one line of the platform's list and returns the note that it
+// gives cause for. The list lags by an unknown time, so a line that contradicts
+// a note counts when this instance has seen it change, or after a while.
+func (l *Leaving) list(u nutmegid.Upstream, leaving bool, now moment) (LeavingNote, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	before, ok := l.listed[u]
+	changed := leaving && !ok || ok && before.leaving != leaving
+	if changed || !ok {
+		l.listed[u] = listed{leaving: leaving, since: now}
+	}
+	note := l.notes[u]
+	trusted := changed || now-l.listed[u].since >= moment(liveListTrust)
+	if note.Leaving == leaving || !trusted {
+		return LeavingNote{}, false
+	}
+	return LeavingNote{Upstream: u, Serial: note.Serial + 1, Leaving: leaving}, true
 }
 
 // merge takes in notes and says whether one of them was news.
@@ -80,8 +109,19 @@
 	return p.leaving.export()
 }
 
-// MergeLeaving takes in notes of the platform's live list or of peers. From
-// its return on, no new request goes to an upstream that is leaving.
+// TakeLive takes in the platform's live list: for each upstream on it, whether
+// it is leaving.
+func (p *Pool) TakeLive(list map[nutmegid.Upstream]bool) {
+	var notes []LeavingNote
+	for u, leaving := range list {
+		if note, ok := p.leaving.list(u, leaving, p.now()); ok {
+			notes = append(notes, note)
+		}
+	}
+	p.MergeLeaving(notes)
+}
+
+// MergeLeaving takes in notes, such as those of peers. From its return on, no new request goes to an upstream that is leaving.
 func (p *Pool) MergeLeaving(notes []LeavingNote) {
 	if !p.leaving.merge(notes) {
 		return
--- a/nutmegroute/reports.go
+++ b/nutmegroute/reports.go
@@ -207,6 +207,9 @@
 		return err
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if engine && resp.StatusCode == http.StatusNotFound {
+		return nil // an engine that reports no load is up
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("upstream %q answered its probe with %s", p.candidate.Upstream, resp.Status)
 	}
