Check settings as a whole, with lines, and add TLS and timeout settings

Cause: faults were reported without lines and the first type error hid the rest.

Before: one type error hid every other fault; no fault but syntax had a line.

--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -2,9 +2,22 @@
 
 import "time"
 
+// Defaults of the settings.
 const (
-	// DefaultShutdownTimeout bounds how long a graceful shutdown waits for running requests.
-	DefaultShutdownTimeout = 2 * time.Minute
+	// DefaultPlatformTimeout bounds one call to the platform.
+	DefaultPlatformTimeout = 2 * time.Second
+	// DefaultWritesPerSecond is one instance's share of the platform's writes.
+	DefaultWritesPerSecond = 40
+	// DefaultReadsPerSecond is one instance's share of the platform's reads.
+	DefaultReadsPerSecond = 150
+	// DefaultBudgetShards is the number of objects that hold budgets.
+	DefaultBudgetShards = 1
+	// DefaultHorizon is the span of spend that a lease covers while plenty is left.
+	DefaultHorizon = 10 * time.Minute
+	// DefaultMinLeaseTokens is the smallest lease that is asked for.
+	DefaultMinLeaseTokens = 2000
+	// DefaultCommitInterval is how often spend is settled into the store.
+	DefaultCommitInterval = time.Second
 	// DefaultMaxBodyBytes is the largest body that a caller may send.
 	DefaultMaxBodyBytes = 4 << 20
 	// DefaultMaxHeaderBytes is the largest header that a caller may send.
@@ -15,8 +28,19 @@
 	DefaultKeepUnread = 30 * time.Second
 	// DefaultUpstreamIdle is the silence after which a connection to an upstream is replaced.
 	DefaultUpstreamIdle = 10 * time.Second
-	// DefaultBudgetShards is the number of objects that hold budgets.
-	DefaultBudgetShards = 1
+	// DefaultHeaderTimeout bounds how long a caller may take for its header.
+	DefaultHeaderTimeout = 10 * time.Second
+	// DefaultBodyTimeout bounds how long a caller may take for its body.
+	DefaultBodyTimeout = 30 * time.Second
+	// DefaultWriteTimeout bounds how long a caller may take to read one event.
+	DefaultWriteTimeout = 30 * time.Second
+	// DefaultIdleTimeout is how long an idle connection of a caller stays open.
+	DefaultIdleTimeout = 2 * time.Minute
+	// DefaultShutdownTimeout bounds how long a graceful shutdown waits for running requests.
+	DefaultShutdownTimeout = 2 * time.Minute
+)
+
+const (
 	// DefaultCompleteDelay is the shortest wait before effects that another instance left behind are completed.
 	DefaultCompleteDelay = 3 * time.Second
 
@@ -28,4 +52,7 @@
 	maxLoads         = 3       // reads of the head while newer revisions come into force
 	maxHistory       = 100     // entries of one page of history
 	keyHashBytes     = 32
+	minPeerKeyLength = 16   // characters
+	maxBudgetShards  = 4096 // objects
+	keyHashLength    = 64   // hexadecimal digits of a SHA-256
 )
--- a/nutmegconf/settings.go
+++ b/nutmegconf/settings.go
@@ -1,16 +1,9 @@
 package nutmegconf
 
 import (
-	"errors"
 	"fmt"
-	"net"
-	"net/url"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/BurntSushi/toml"
-
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
@@ -29,13 +22,23 @@
 
 // MarshalText implements encoding.TextMarshaler.
 func (d Duration) MarshalText() ([]byte, error) {
-	return []byte(time.Duration(d).String()), nil
+	return []byte(d.String()), nil
+}
+
+// String returns the duration as it is written in settings.
+func (d Duration) String() string {
+	return time.Duration(d).String()
+}
+
+func (d Duration) seconds() float64 {
+	return time.Duration(d).Seconds()
 }
 
 // Settings is what one entry instance reads at start.
 type Settings struct {
 	Instance InstanceSettings `toml:"instance"`
 	Listen   ListenSettings   `toml:"listen"`
+	TLS      TLSSettings      `toml:"tls"`
 	Platform PlatformSettings `toml:"platform"`
 	Peers    PeerSettings     `toml:"peers"`
 	Budget   BudgetSettings   `toml:"budget"`
@@ -59,6 +62,27 @@
 	Peers     string `toml:"peers"`
 }
 
+// TLSSettings turn TLS on for each kind of connection. The files are read
+// again when they change.
+type TLSSettings struct {
+	Callers   CertificateSettings `toml:"callers"`
+	Operators CertificateSettings `toml:"operators"`
+	Peers     CertificateSettings `toml:"peers"`
+}
+
+// CertificateSettings name PEM files. CA, where set, is what the other side's
+// certificate must be signed by; peers need it.
+type CertificateSettings struct {
+	Cert string `toml:"cert"`
+	Key  string `toml:"key"`
+	CA   string `toml:"ca"`
+}
+
+// On reports whether TLS is on.
+func (c CertificateSettings) On() bool {
+	return c.Cert != ""
+}
+
 // PlatformSettings locate the platform and the instance's share of its rates.
 type PlatformSettings struct {
 	URL             string   `toml:"url"`
@@ -81,11 +105,15 @@
 	CommitInterval Duration        `toml:"commit_interval"`
 }
 
-// LimitSettings bound what callers may send.
+// LimitSettings bound what callers may send and how long they may take.
 type LimitSettings struct {
 	MaxBodyBytes    int64    `toml:"max_body_bytes"`
 	MaxHeaderBytes  int      `toml:"max_header_bytes"`
 	MaxConnections  int      `toml:"max_connections"`
+	HeaderTimeout   Duration `toml:"header_timeout"`
+	BodyTimeout     Duration `toml:"body_timeout"`
+	WriteTimeout    Duration `toml:"write_timeout"`
+	IdleTimeout     Duration `toml:"idle_timeout"`
 	ShutdownTimeout Duration `toml:"shutdown_timeout"`
 	// KeepUnread is how long an answer goes on after its caller went away.
 	KeepUnread Duration `toml:"keep_unread"`
@@ -102,13 +130,25 @@
 // DefaultSettings returns the settings that a file starts from.
 func DefaultSettings() Settings {
 	return Settings{
+		Platform: PlatformSettings{
+			Timeout:         Duration(DefaultPlatformTimeout),
+			WritesPerSecond: DefaultWritesPerSecond,
+			ReadsPerSecond:  DefaultReadsPerSecond,
+		},
 		Budget: BudgetSettings{
-			Shards: DefaultBudgetShards,
+			Shards:         DefaultBudgetShards,
+			Horizon:        Duration(DefaultHorizon),
+			MinLease:       DefaultMinLeaseTokens,
+			CommitInterval: Duration(DefaultCommitInterval),
 		},
 		Limits: LimitSettings{
 			MaxBodyBytes:    DefaultMaxBodyBytes,
 			MaxHeaderBytes:  DefaultMaxHeaderBytes,
 			MaxConnections:  DefaultMaxConnections,
+			HeaderTimeout:   Duration(DefaultHeaderTimeout),
+			BodyTimeout:     Duration(DefaultBodyTimeout),
+			WriteTimeout:    Duration(DefaultWriteTimeout),
+			IdleTimeout:     Duration(DefaultIdleTimeout),
 			ShutdownTimeout: Duration(DefaultShutdownTimeout),
 			KeepUnread:      Duration(DefaultKeepUnread),
 			UpstreamIdle:    Duration(DefaultUpstreamIdle),
@@ -116,117 +156,3 @@
 		Log: LogSettings{Level: "info", Format: "text"},
 	}
 }
-
-// Fault is one mistake in a settings file.
-type Fault struct {
-	File   string
-	Line   int // 0 where the setting is missing
-	Key    string
-	Detail string
-}
-
-// String returns "file:line: key: detail".
-func (f Fault) String() string {
-	return fmt.Sprintf("%s:%d: %s: %s", f.File, f.Line, f.Key, f.Detail)
-}
-
-// SettingsError lists all faults of a settings file.
-type SettingsError struct {
-	Faults []Fault
-}
-
-// Error lists the faults, a line each.
-func (e *SettingsError) Error() string {
-	lines := make([]string, 0, len(e.Faults))
-	for _, f := range e.Faults {
-		lines = append(lines, f.String())
-	}
-	return strings.Join(lines, "\n")
-}
-
-// LoadSettings reads and checks a settings file as a whole.
-func LoadSettings(file string) (Settings, error) {
-	settings := DefaultSettings()
-	meta, err := toml.DecodeFile(file, &settings)
-	if err != nil {
-		return settings, &SettingsError{Faults: []Fault{decodeFault(file, err)}}
-	}
-	c := checker{file: file}
-	for _, key := range meta.Undecoded() {
-		c.fault(key.String(), "the key is unknown; see docs/operate/settings.md")
-	}
-	c.check(settings)
-	if len(c.faults) > 0 {
-		return settings, &SettingsError{Faults: c.faults}
-	}
-	return settings, nil
-}
-
-func decodeFault(file string, err error) Fault {
-	fault := Fault{File: file, Detail: err.Error()}
-	var parse toml.ParseError
-	if errors.As(err, &parse) {
-		fault.Line = parse.Position.Line
-		fault.Key = parse.LastKey
-		fault.Detail = parse.Message
-	}
-	return fault
-}
-
-type checker struct {
-	file   string
-	faults []Fault
-}
-
-func (c *checker) fault(key, format string, args ...any) {
-	c.faults = append(c.faults, Fault{File: c.file, Key: key, Detail: fmt.Sprintf(format, args...)})
-}
-
-func (c *checker) check(s Settings) {
-	c.required("instance.name", string(s.Instance.Name))
-	c.required("instance.failure_domain", string(s.Instance.FailureDomain))
-	c.required("instance.fleet", s.Instance.Fleet)
-	c.required("peers.key", s.Peers.Key)
-	c.addresses(s.Listen)
-	c.platform(s.Platform)
-	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
-	c.oneOf("log.format", s.Log.Format, "text", "json")
-	if s.Budget.Shards < 1 || s.Budget.Shards > 4096 {
-		c.fault("budget.shards", "%d is out of range; use 1 to 4096", s.Budget.Shards)
-	}
-}
-
-func (c *checker) required(key, value string) {
-	if value == "" {
-		c.fault(key, "the setting is missing; give a non-empty value")
-	}
-}
-
-func (c *checker) oneOf(key, value string, allowed ...string) {
-	if !slices.Contains(allowed, value) {
-		c.fault(key, "%q is not allowed; use one of %s", value, strings.Join(allowed, ", "))
-	}
-}
-
-func (c *checker) addresses(l ListenSettings) {
-	seen := make(map[string]string)
-	for _, a := range []struct{ key, value string }{
-		{"listen.callers", l.Callers}, {"listen.operators", l.Operators}, {"listen.peers", l.Peers},
-	} {
-		if _, _, err := net.SplitHostPort(a.value); err != nil {
-			c.fault(a.key, "%q is no address; write ip:port", a.value)
-			continue
-		}
-		if first, ok := seen[a.value]; ok && !strings.HasSuffix(a.value, ":0") {
-			c.fault(a.key, "%q is also %s; give each its own port", a.value, first)
-		}
-		seen[a.value] = a.key
-	}
-}
-
-func (c *checker) platform(p PlatformSettings) {
-	u, err := url.Parse(p.URL)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		c.fault("platform.url", "%q is no URL; write http://ip:port or https://ip:port", p.URL)
-	}
-}
