--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -36,8 +36,12 @@
 	DefaultWriteTimeout = 30 * time.Second
 	// DefaultIdleTimeout is how long an idle connection of a caller stays open.
 	DefaultIdleTimeout = 2 * time.Minute
+	// DefaultDrainDelay is how long a stopping instance still answers refusals.
+	DefaultDrainDelay = 2 * time.Second
 	// DefaultShutdownTimeout bounds how long a graceful shutdown waits for running requests.
 	DefaultShutdownTimeout = 2 * time.Minute
+	// DefaultFinishTimeout bounds returning leases and writing the ledger after the last request.
+	DefaultFinishTimeout = 15 * time.Second
 )
 
 const (
--- a/nutmegconf/settings.go
+++ b/nutmegconf/settings.go
@@ -107,18 +107,23 @@
 
 // LimitSettings bound what callers may send and how long they may take.
 type LimitSettings struct {
-	MaxBodyBytes    int64    `toml:"max_body_bytes"`
-	MaxHeaderBytes  int      `toml:"max_header_bytes"`
-	MaxConnections  int      `toml:"max_connections"`
-	HeaderTimeout   Duration `toml:"header_timeout"`
-	BodyTimeout     Duration `toml:"body_timeout"`
-	WriteTimeout    Duration `toml:"write_timeout"`
-	IdleTimeout     Duration `toml:"idle_timeout"`
+	MaxBodyBytes   int64    `toml:"max_body_bytes"`
+	MaxHeaderBytes int      `toml:"max_header_bytes"`
+	MaxConnections int      `toml:"max_connections"`
+	HeaderTimeout  Duration `toml:"header_timeout"`
+	BodyTimeout    Duration `toml:"body_timeout"`
+	WriteTimeout   Duration `toml:"write_timeout"`
+	IdleTimeout    Duration `toml:"idle_timeout"`
+	// DrainDelay is how long a stopping instance refuses new work with an answer
+	// before it closes its listeners, so that the balancer sees /readyz fail.
+	DrainDelay      Duration `toml:"drain_delay"`
 	ShutdownTimeout Duration `toml:"shutdown_timeout"`
 	// KeepUnread is how long an answer goes on after its caller went away.
 	KeepUnread Duration `toml:"keep_unread"`
 	// UpstreamIdle is the silence after which a connection to an upstream is replaced.
 	UpstreamIdle Duration `toml:"upstream_idle"`
+	// FinishTimeout bounds returning leases and writing the ledger after the last request.
+	FinishTimeout Duration `toml:"finish_timeout"`
 }
 
 // LogSettings choose the form of the logs.
@@ -149,9 +154,11 @@
 			BodyTimeout:     Duration(DefaultBodyTimeout),
 			WriteTimeout:    Duration(DefaultWriteTimeout),
 			IdleTimeout:     Duration(DefaultIdleTimeout),
+			DrainDelay:      Duration(DefaultDrainDelay),
 			ShutdownTimeout: Duration(DefaultShutdownTimeout),
 			KeepUnread:      Duration(DefaultKeepUnread),
 			UpstreamIdle:    Duration(DefaultUpstreamIdle),
+			FinishTimeout:   Duration(DefaultFinishTimeout),
 		},
 		Log: LogSettings{Level: "info", Format: "text"},
 	}
--- a/nutmegconf/settings_check.go
+++ b/nutmegconf/settings_check.go
@@ -160,6 +160,10 @@
 	c.positive("limits.write_timeout", l.WriteTimeout)
 	c.positive("limits.idle_timeout", l.IdleTimeout)
 	c.positive("limits.shutdown_timeout", l.ShutdownTimeout)
+	c.positive("limits.finish_timeout", l.FinishTimeout)
+	if l.DrainDelay < 0 || l.DrainDelay >= l.ShutdownTimeout {
+		c.fault("limits.drain_delay", "%s is not from 0s to below limits.shutdown_timeout %s", l.DrainDelay, l.ShutdownTimeout)
+	}
 }
 
 // certificate checks that the files of one kind of connection go together.
--- /dev/null
+++ b/nutmegnode/certificate_test.go
@@ -0,0 +1,181 @@
+package nutmegnode
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+)
+
+// authority signs certificates for tests.
+type authority struct {
+	t    *testing.T
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+	dir  string
+}
+
+func newAuthority(t *testing.T) *authority {
+	t.Helper()
+	a := &authority{t: t, dir: t.TempDir()}
+	a.key = newKey(t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test CA"}, IsCA: true, BasicConstraintsValid: true,
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if a.cert, err = x509.ParseCertificate(der); err != nil {
+		t.Fatal(err)
+	}
+	writePEM(t, a.file("ca.pem"), "CERTIFICATE", der)
+	return a
+}
+
+func newKey(t *testing.T) *ecdsa.PrivateKey {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return key
+}
+
+func writePEM(t *testing.T, file, kind string, der []byte) {
+	t.Helper()
+	if err := os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (a *authority) file(name string) string {
+	return filepath.Join(a.dir, name)
+}
+
+// issue writes a certificate with a serial number and returns its settings.
+func (a *authority) issue(name string, serial int64) nutmegconf.CertificateSettings {
+	a.t.Helper()
+	key := newKey(a.t)
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(serial), Subject: pkix.Name{CommonName: name}, IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	keyDER, err := x509.MarshalECPrivateKey(key)
+	if err != nil {
+		a.t.Fatal(err)
+	}
+	s := nutmegconf.CertificateSettings{Cert: a.file(name + ".pem"), Key: a.file(name + ".key"), CA: a.file("ca.pem")}
+	writePEM(a.t, s.Cert, "CERTIFICATE", der)
+	writePEM(a.t, s.Key, "EC PRIVATE KEY", keyDER)
+	return s
+}
+
+// shake connects over loopback and returns the server's serial number. The
+// client reads once, since a server refuses a client only after its handshake.
+func shake(t *testing.T, server, client *certificates) (int64, error) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go greet(tls.NewListener(l, server.serverConfig()))
+	conn, err := tls.Dial("tcp", l.Addr().String(), client.clientConfig())
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := conn.Read(make([]byte, 1)); err != nil {
+		return 0, err
+	}
+	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+}
+
+// greet sends one byte on the first connection.
+func greet(l net.Listener) {
+	conn, err := l.Accept()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	_, _ = conn.Write([]byte{1})
+}
+
+func load(t *testing.T, s nutmegconf.CertificateSettings) *certificates {
+	t.Helper()
+	c, err := newCertificates(s, func(err error) { t.Logf("reload: %v", err) })
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestReplacedCertificateIsUsedWithoutRestart(t *testing.T) {
+	a := newAuthority(t)
+	settings := a.issue("server", 7)
+	server, client := load(t, settings), load(t, a.issue("client", 8))
+	first, err := shake(t, server, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a.issue("server", 9)
+	later := time.Now().Add(time.Minute)
+	for _, file := range []string{settings.Cert, settings.Key} {
+		if err := os.Chtimes(file, later, later); err != nil {
+			t.Fatal(err)
+		}
+	}
+	server.checkedAt = time.Time{} // the next handshake looks at the files
+	second, err := shake(t, server, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]int64{7, 9}, []int64{first, second}); diff != "" {
+		t.Errorf("serial numbers (-want +got):\n%s", diff)
+	}
+}
+
+func TestDamagedCertificateLeavesThePresentOneInUse(t *testing.T) {
+	a := newAuthority(t)
+	settings := a.issue("server", 7)
+	server, client := load(t, settings), load(t, a.issue("client", 8))
+	if err := os.WriteFile(settings.Cert, []byte("damaged"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	server.checkedAt, server.changedAt = time.Time{}, time.Time{}
+	serial, err := shake(t, server, client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(int64(7), serial); diff != "" {
+		t.Errorf("serial number (-want +got):\n%s", diff)
+	}
+}
+
+func TestForeignPeerIsRefused(t *testing.T) {
+	ours, foreign := newAuthority(t), newAuthority(t)
+	server, client := load(t, ours.issue("server", 7)), load(t, foreign.issue("client", 8))
+	if _, err := shake(t, server, client); err == nil {
+		t.Error("a peer with a foreign certificate was accepted")
+	}
+}
--- a/nutmegnode/chat.go
+++ b/nutmegnode/chat.go
@@ -158,11 +158,12 @@
 	a.cancel(errUnread)
 }
 
-// drain waits for running requests. When ctx ends before, it cancels them.
-func (n *Node) drain(ctx context.Context) {
+// drain waits for running requests. When ctx ends before, it cancels them and
+// waits until finish ends.
+func (n *Node) drain(ctx, finish context.Context) error {
 	stop := context.AfterFunc(ctx, func() { n.answers.cancelAll(errShutdown) })
 	defer stop()
-	n.running.Wait()
+	return n.running.wait(finish)
 }
 
 func keyReusedError(key nutmegid.OrderKey) error {
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -3,17 +3,16 @@
 import "time"
 
 const (
-	readHeaderTimeout  = 10 * time.Second
-	bodyReadTimeout    = 30 * time.Second
-	storeConnections   = 16              // idle connections kept to the platform
-	outcomeTimeout     = 5 * time.Second // of recording a protected call's outcome
-	defaultMaxTokens   = 1024            // tokens of an answer whose request states no bound
-	maxAnswerTokens    = 1 << 20         // tokens that a request may ask for
-	requestOverhead    = 16              // tokens reserved for what an engine adds to a prompt
-	maxHeldBytes       = 128 << 10       // of one answer's latest events
-	keepAnswer         = 2 * time.Minute // an ended answer is repeated to callers with its key
-	maxKeptAnswers     = 1000
-	streamStoreTimeout = 5 * time.Second // of the write that moves or closes a stream
+	certificateCheckInterval = time.Second
+	storeConnections         = 16              // idle connections kept to the platform
+	outcomeTimeout           = 5 * time.Second // of recording a protected call's outcome
+	defaultMaxTokens         = 1024            // tokens of an answer whose request states no bound
+	maxAnswerTokens          = 1 << 20         // tokens that a request may ask for
+	requestOverhead          = 16              // tokens reserved for what an engine adds to a prompt
+	maxHeldBytes             = 128 << 10       // of one answer's latest events
+	keepAnswer               = 2 * time.Minute // an ended answer is repeated to callers with its key
+	maxKeptAnswers           = 1000
+	streamStoreTimeout       = 5 * time.Second // of the write that moves or closes a stream
 )
 
 // Bounds of bringing revisions into force and of showing them.
--- a/nutmegnode/effects.go
+++ b/nutmegnode/effects.go
@@ -200,7 +200,7 @@
 
 // InFlight implements nutmegconf.Live.
 func (l *live) InFlight() int {
-	return int(l.node.inProgress.Load())
+	return l.node.running.count()
 }
 
 // Instances implements nutmegconf.Live.
--- a/nutmegnode/limits.go
+++ b/nutmegnode/limits.go
@@ -8,27 +8,30 @@
 	"net/http"
 	"os"
 	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
 )
 
 // readBody reads a whole body within the instance's limits of size and time.
 func (n *Node) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
 	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(bodyReadTimeout))
+	timeout := n.cfg.Settings.Limits.BodyTimeout
+	_ = control.SetReadDeadline(time.Now().Add(time.Duration(timeout)))
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, n.cfg.Settings.Limits.MaxBodyBytes))
 	if err != nil {
-		return nil, bodyError(err)
+		return nil, bodyError(err, timeout)
 	}
 	_ = control.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
-func bodyError(err error) error {
+func bodyError(err error, timeout nutmegconf.Duration) error {
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return refusal(http.StatusRequestEntityTooLarge, "body_too_large", fmt.Sprintf("the body is over %d bytes; send less", tooLarge.Limit))
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return refusal(http.StatusRequestTimeout, "body_too_slow", fmt.Sprintf("the body did not arrive within %s; send it faster", bodyReadTimeout))
+		return refusal(http.StatusRequestTimeout, "body_too_slow", fmt.Sprintf("the body did not arrive within %s; send it faster", timeout))
 	}
 	return refusal(http.StatusBadRequest, "body_incomplete", "the body did not arrive whole; send it again")
 }
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -74,14 +74,16 @@
 	answers     *answers
 	keepUnread  time.Duration
 
-	callers    *http.Server
-	operators  *http.Server
-	addresses  Addresses
-	stopping   atomic.Bool
-	running    sync.WaitGroup // requests in progress
-	inProgress atomic.Int64   // the same, counted
-	watchStop  context.CancelFunc
-	watchDone  chan struct{}
+	callers   *server
+	operators *server
+	addresses Addresses
+	stopping  atomic.Bool
+	stopOnce  sync.Once
+	stopErr   error
+	running   runCount      // requests in progress
+	peerCerts *certificates // of connections to peers; nil without TLS
+	watchStop context.CancelFunc
+	watchDone chan struct{}
 }
 
 // Addresses are where a started node listens.
@@ -147,45 +149,6 @@
 	n.keepUnread = time.Duration(n.cfg.Settings.Limits.KeepUnread)
 }
 
-// Start listens and takes requests.
-func (n *Node) Start() error {
-	l := n.cfg.Settings.Listen
-	callers, err := net.Listen("tcp", l.Callers)
-	if err != nil {
-		return fmt.Errorf("callers' address %q: %w", l.Callers, err)
-	}
-	operators, err := net.Listen("tcp", l.Operators)
-	if err != nil {
-		return fmt.Errorf("operators' address %q: %w", l.Operators, err)
-	}
-	peers, err := net.Listen("tcp", l.Peers)
-	if err != nil {
-		return fmt.Errorf("peers' address %q: %w", l.Peers, err)
-	}
-	n.addresses = Addresses{
-		Callers:   callers.Addr().String(),
-		Operators: operators.Addr().String(),
-		Peers:     peers.Addr().String(),
-	}
-	n.buildPeers()
-	if err := n.peers.Start(peers); err != nil {
-		return err
-	}
-	n.holder.Start()
-	n.ledger.Start()
-	ctx, cancel := context.WithCancel(context.Background())
-	n.watchStop = cancel
-	n.completer.Start()
-	go n.follower.run(ctx)
-	go n.watchLoop(ctx)
-	n.router.start()
-	n.callers = n.serve(callers, n.counted(n.callerHandler()))
-	n.operators = n.serve(operators, n.operatorHandler())
-	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStart, Detail: string(n.incarnation)})
-	n.log.WithField("incarnation", n.incarnation).Info("instance started")
-	return nil
-}
-
 func (n *Node) buildPeers() {
 	s := n.cfg.Settings
 	n.peers = nutmegpeer.New(nutmegpeer.Config{
@@ -198,7 +161,7 @@
 			Address:       n.addresses.Peers,
 		},
 		Seeds:      s.Peers.Seeds,
-		Dial:       n.cfg.Dial,
+		Dial:       n.peerDial,
 		Clock:      n.ring.Clock(),
 		Revision:   n.revision,
 		OnRevision: n.follower.heard,
@@ -208,16 +171,6 @@
 	})
 }
 
-func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
-	s := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    n.cfg.Settings.Limits.MaxHeaderBytes,
-	}
-	go func() { _ = s.Serve(l) }()
-	return s
-}
-
 // Addresses returns where the node listens.
 func (n *Node) Addresses() Addresses {
 	return n.addresses
@@ -240,23 +193,6 @@
 	return 0
 }
 
-// Stop ends the instance gracefully: no new work, running requests end,
-// leases return, the ledger is written, peers are told.
-func (n *Node) Stop(ctx context.Context) error {
-	n.stopping.Store(true)
-	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStop})
-	n.peers.Leave()
-	failed := n.callers.Shutdown(ctx)
-	n.drain(ctx)
-	failed = errors.Join(failed, n.holder.Stop(ctx), n.ledger.Stop(ctx))
-	n.stopFollowing()
-	n.router.stop()
-	n.peers.Stop()
-	failed = errors.Join(failed, n.operators.Shutdown(ctx))
-	n.log.Info("instance stopped")
-	return failed
-}
-
 func (n *Node) stopFollowing() {
 	n.watchStop()
 	<-n.watchDone
@@ -264,33 +200,9 @@
 	n.completer.Stop()
 }
 
-// counted counts the callers' requests in progress.
-func (n *Node) counted(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		n.inProgress.Add(1)
-		defer n.inProgress.Add(-1)
-		h.ServeHTTP(w, r)
-	})
-}
-
 // health is what peers are told of this instance.
 func (n *Node) health() (uint32, bool) {
-	return uint32(max(0, n.inProgress.Load())), n.notReady() == ""
-}
-
-// Kill ends the instance at once, as a crash of its process does: nothing is
-// settled, returned or told.
-func (n *Node) Kill() {
-	n.stopping.Store(true)
-	_ = n.callers.Close()
-	_ = n.operators.Close()
-	n.stopFollowing()
-	n.router.stop()
-	n.sender.Abandon()
-	n.answers.cancelAll(errAbandoned)
-	n.holder.Abandon()
-	n.ledger.Abandon()
-	n.peers.Stop()
+	return uint32(max(0, n.running.count())), n.notReady() == ""
 }
 
 func (n *Node) storeState(up bool) {
--- a/nutmegtrace/defaults.go
+++ b/nutmegtrace/defaults.go
@@ -22,10 +22,11 @@
 )
 
 const (
-	operatorKey  = "embedded-operator-key"
-	peerKey      = "embedded-peer-key"
-	readyTimeout = 10 * time.Second
-	pollInterval = 5 * time.Millisecond
+	operatorKey   = "embedded-operator-key"
+	peerKey       = "embedded-peer-key"
+	readyTimeout  = 10 * time.Second
+	finishTimeout = 3 * time.Second
+	pollInterval  = 5 * time.Millisecond
 
 	fleetName                    = "embedded"
 	embeddedDomain               = nutmegid.FailureDomain("loopback")
