--- a/nutmegnode/certificate_test.go
+++ b/nutmegnode/certificate_test.go
@@ -100,7 +100,8 @@
 	}
 	defer func() { _ = l.Close() }()
 	go greet(tls.NewListener(l, server.serverConfig()))
-	conn, err := tls.Dial("tcp", l.Addr().String(), client.clientConfig())
+	dialer := tls.Dialer{Config: client.clientConfig()}
+	conn, err := dialer.DialContext(t.Context(), "tcp", l.Addr().String())
 	if err != nil {
 		return 0, err
 	}
@@ -108,7 +109,7 @@
 	if _, err := conn.Read(make([]byte, 1)); err != nil {
 		return 0, err
 	}
-	return conn.ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
+	return conn.(*tls.Conn).ConnectionState().PeerCertificates[0].SerialNumber.Int64(), nil
 }
 
 // greet sends one byte on the first connection.
--- a/nutmegtrace/shutdown_test.go
+++ b/nutmegtrace/shutdown_test.go
@@ -54,15 +54,15 @@
 	}
 }
 
-// storedBudget reads a budget as the platform holds it.
-func storedBudget(t *testing.T, f *Fleet, id nutmegid.BudgetID) *nutmegbudget.Budget {
+// storedBudget reads the workspace's budget as the platform holds it.
+func storedBudget(t *testing.T, f *Fleet) *nutmegbudget.Budget {
 	t.Helper()
 	value := f.Platform.Value(nutmegbudget.ShardKind, nutmegbudget.ShardName(0))
 	doc, err := nutmegstore.Decode[nutmegbudget.Shard](nutmegstore.Object{Value: value})
 	if err != nil {
 		t.Fatal(err)
 	}
-	return doc.Body.Budgets[id]
+	return doc.Body.Budgets["workspace/rack"]
 }
 
 func TestGracefulStopEndsStreamsAndReturnsLeases(t *testing.T) {
@@ -88,7 +88,7 @@
 	if diff := cmp.Diff(chat.WantText(), result.Text); diff != "" || !result.Whole {
 		t.Errorf("running answer is cut (-want +got):\n%s", diff)
 	}
-	budget := storedBudget(t, f, "workspace/rack")
+	budget := storedBudget(t, f)
 	run := f.Engines[0].Runs()[0]
 	if diff := cmp.Diff(nutmegid.Tokens(run.PromptTokens+run.AnswerTokens), budget.Spent); diff != "" {
 		t.Errorf("settled spend (-want +got):\n%s", diff)
@@ -131,7 +131,7 @@
 	if result := <-running; result.Whole {
 		t.Error("a cut answer looks whole")
 	}
-	budget := storedBudget(t, f, "workspace/rack")
+	budget := storedBudget(t, f)
 	if budget.Leased() != 0 || budget.Spent == 0 {
 		t.Errorf("leased %d and spent %d; want 0 and the cut answer's tokens", budget.Leased(), budget.Spent)
 	}
@@ -156,7 +156,7 @@
 		t.Error("stop reports no error although leases could not return")
 	}
 	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
-	budget := storedBudget(t, f, "workspace/rack")
+	budget := storedBudget(t, f)
 	run := f.Engines[0].Runs()[0]
 	if used := nutmegid.Tokens(run.PromptTokens + run.AnswerTokens); budget.Spent+budget.Leased() < used {
 		t.Errorf("spent %d and leased %d cover less than the %d tokens that ran", budget.Spent, budget.Leased(), used)
@@ -171,7 +171,7 @@
 	if result := <-running; result.Whole {
 		t.Error("a cut answer looks whole")
 	}
-	budget := storedBudget(t, f, "workspace/rack")
+	budget := storedBudget(t, f)
 	if err := budget.Check("workspace/rack"); err != nil {
 		t.Error(err)
 	}
