--- a/nutmegpeer/conn.go
+++ b/nutmegpeer/conn.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc/drpcconn"
 
 	"github.com/nutmegwind/nutmegwind/nutmegpeer/peerpb"
@@ -139,10 +140,11 @@
 }
 
 // quietListener closes accepted connections that are silent for too long, so
-// that dead ones do not gather.
+// that dead ones do not gather, and counts their bytes.
 type quietListener struct {
 	net.Listener
 	timeout time.Duration
+	traffic *traffic
 }
 
 // Accept implements net.Listener.
@@ -151,7 +153,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return quietConn{Conn: c, timeout: l.timeout}, nil
+	return quietConn{Conn: countedConn{Conn: c, traffic: l.traffic}, timeout: l.timeout}, nil
 }
 
 type quietConn struct {
@@ -166,3 +168,46 @@
 	}
 	return c.Conn.Read(b)
 }
+
+// traffic counts the bytes of all connections to and from peers.
+type traffic struct {
+	received metrics.Counter
+	sent     metrics.Counter
+}
+
+func newTraffic(r metrics.Registry) *traffic {
+	return &traffic{
+		received: metrics.GetOrRegisterCounter("peer_bytes_received", r),
+		sent:     metrics.GetOrRegisterCounter("peer_bytes_sent", r),
+	}
+}
+
+// dialer returns dial with counted connections.
+func (t *traffic) dialer(dial DialFunc) DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: c, traffic: t}, nil
+	}
+}
+
+type countedConn struct {
+	net.Conn
+	traffic *traffic
+}
+
+// Read implements net.Conn.
+func (c countedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.traffic.received.Inc(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countedConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.traffic.sent.Inc(int64(n))
+	return n, err
+}
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -71,6 +71,7 @@
 	table     *table
 	gossip    *Gossip
 	conns     *connPool
+	traffic   *traffic
 	targets   targets
 	heartbeat atomic.Uint64
 	leaving   atomic.Bool
@@ -87,15 +88,17 @@
 func New(cfg Config) *Peers {
 	cfg = withDefaults(cfg)
 	ctx, cancel := context.WithCancel(context.Background())
+	counted := newTraffic(cfg.Metrics)
 	p := &Peers{
-		cfg:    cfg,
-		table:  newTable(time.Now, cfg.DeadAfter, cfg.KeepDead),
-		conns:  newConnPool(cfg.Dial),
-		news:   make(chan struct{}, 1),
-		ctx:    ctx,
-		cancel: cancel,
-		done:   make(chan struct{}),
-		served: make(chan struct{}),
+		cfg:     cfg,
+		table:   newTable(time.Now, cfg.DeadAfter, cfg.KeepDead),
+		conns:   newConnPool(counted.dialer(cfg.Dial)),
+		traffic: counted,
+		news:    make(chan struct{}, 1),
+		ctx:     ctx,
+		cancel:  cancel,
+		done:    make(chan struct{}),
+		served:  make(chan struct{}),
 	}
 	p.gossip = newGossip(time.Now, p.count)
 	p.targets.setSeeds(cfg.Seeds)
@@ -155,7 +158,7 @@
 		Manager: managerOptions(),
 		Log:     func(error) { p.count("peer_broken_connections") },
 	})
-	go p.run(s, quietListener{Listener: l, timeout: serverIdleFactor * p.cfg.IdleTimeout})
+	go p.run(s, quietListener{Listener: l, timeout: serverIdleFactor * p.cfg.IdleTimeout, traffic: p.traffic})
 	p.Announce()
 	go p.loop()
 	return nil
