Take intents as words, ask on a terminal, show history; tell a revision to those behind

nutmegctl: intent KIND FIELD=VALUE..., kinds, history, -yes. A stale plan is shown anew and asked for; with -yes it is refused. Peers: a revision is told to six peers that are not known to have it.

--- a/cmd/nutmegctl/client.go
+++ b/cmd/nutmegctl/client.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
 )
 
 const callTimeout = 15 * time.Second
@@ -17,10 +20,11 @@
 type client struct {
 	options
 	http *http.Client
+	in   *os.File // where questions are answered
 }
 
 func newClient(o options) *client {
-	return &client{options: o, http: &http.Client{Timeout: callTimeout}}
+	return &client{options: o, http: &http.Client{Timeout: callTimeout}, in: os.Stdin}
 }
 
 func (c *client) servers() []string {
@@ -53,15 +57,24 @@
 	return json.Unmarshal(answer, into)
 }
 
+// refusedError is a typed refusal of an instance.
+type refusedError struct {
+	Kind    string           `json:"kind"`
+	Message string           `json:"message"`
+	Plan    *nutmegconf.Plan `json:"plan"` // offered in place of a stale one
+}
+
+// Error names the kind and the message.
+func (e *refusedError) Error() string {
+	return e.Kind + ": " + e.Message
+}
+
 func refused(status string, answer []byte) error {
 	var body struct {
-		Error struct {
-			Kind    string `json:"kind"`
-			Message string `json:"message"`
-		} `json:"error"`
+		Error *refusedError `json:"error"`
 	}
-	if json.Unmarshal(answer, &body) != nil || body.Error.Message == "" {
+	if json.Unmarshal(answer, &body) != nil || body.Error == nil || body.Error.Message == "" {
 		return fmt.Errorf("instance answered %s: %s", status, answer)
 	}
-	return fmt.Errorf("%s: %s", body.Error.Kind, body.Error.Message)
+	return body.Error
 }
--- a/cmd/nutmegctl/commands.go
+++ b/cmd/nutmegctl/commands.go
@@ -25,62 +25,14 @@
 var commands = map[string]command{
 	"intent":       intent,
 	"confirm":      confirm,
+	"kinds":        kinds,
+	"history":      history,
 	"status":       status,
 	"bill":         bill,
 	"timeline":     timeline,
 	"check-config": checkConfig,
 }
 
-// intent asks for a plan and prints what it would change.
-func intent(ctx context.Context, c *client, args []string, out io.Writer) error {
-	if len(args) == 0 {
-		return cli.Usagef("give at least one intent as JSON")
-	}
-	req := nutmegnode.PlanRequest{Reason: c.reason}
-	for _, arg := range args {
-		var i nutmegconf.Intent
-		if err := json.Unmarshal([]byte(arg), &i); err != nil {
-			return cli.Usagef("intent %s is no JSON: %v", arg, err)
-		}
-		req.Intents = append(req.Intents, i)
-	}
-	var plan nutmegconf.Plan
-	if err := c.call(ctx, c.servers()[0], http.MethodPost, "/v1/plans", req, &plan); err != nil {
-		return err
-	}
-	if c.json {
-		return printJSON(out, plan)
-	}
-	return printPlan(out, plan)
-}
-
-func printPlan(out io.Writer, plan nutmegconf.Plan) error {
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintf(w, "plan %s against revision %d; nothing has taken effect\n", plan.ID, plan.Base)
-	_, _ = fmt.Fprintln(w, "WHAT\tBEFORE\tAFTER")
-	for _, change := range plan.Changes {
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\n", change.What, change.Before, change.After)
-	}
-	_, _ = fmt.Fprintf(w, "confirm with: nutmegctl confirm %s\n", plan.ID)
-	return w.Flush()
-}
-
-func confirm(ctx context.Context, c *client, args []string, out io.Writer) error {
-	if len(args) != 1 {
-		return cli.Usagef("name one plan")
-	}
-	var done nutmegconf.Confirmation
-	path := "/v1/plans/" + url.PathEscape(args[0]) + "/confirm"
-	if err := c.call(ctx, c.servers()[0], http.MethodPost, path, nil, &done); err != nil {
-		return err
-	}
-	if c.json {
-		return printJSON(out, done)
-	}
-	_, err := fmt.Fprintf(out, "plan %s is in force as revision %d\n", done.Plan, done.Revision)
-	return err
-}
-
 func status(ctx context.Context, c *client, _ []string, out io.Writer) error {
 	var all []nutmegnode.Status
 	var failed error
--- /dev/null
+++ b/cmd/nutmegctl/intent_test.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegnode"
+)
+
+func TestParseIntents(t *testing.T) {
+	got, err := parseIntents([]string{
+		"add_workspace", "workspace=rack", "owner=kaca", "key=secret", "priority=check",
+		"top_up", "budget=workspace/rack", "tokens=5000",
+		`{"kind":"close_workspace","workspace":"old"}`,
+		"add_upstream", "upstreams=desk", "upstream.kind=service", "upstream.url=http://10.0.0.1:80", "upstream.routes=orders,stock",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []nutmegconf.Intent{
+		{Kind: "add_workspace", Workspace: "rack", Owner: "kaca", KeyHashes: []string{nutmegconf.HashKey("secret")}, Priority: "check"},
+		{Kind: "top_up", Budget: "workspace/rack", Tokens: 5000},
+		{Kind: "close_workspace", Workspace: "old"},
+		{Kind: "add_upstream", Upstreams: []nutmegid.Upstream{"desk"}, Upstream: &nutmegconf.UpstreamConfig{
+			Kind: "service", URL: "http://10.0.0.1:80", Routes: []nutmegid.Route{"orders", "stock"},
+		}},
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("intents (-want +got):\n%s", diff)
+	}
+}
+
+func TestParseIntentsRefusesWrongUse(t *testing.T) {
+	for _, args := range [][]string{
+		nil, {"tokens=4"}, {"top_up", "token=4"}, {"top_up", "tokens=many"}, {"top_up", "tokens.x=4"}, {`{"kind":"top_up","what":1}`}, {"{"},
+	} {
+		var usage *cli.UsageError
+		if _, err := parseIntents(args); !errors.As(err, &usage) {
+			t.Errorf("%v gave %v; want a usage error", args, err)
+		}
+	}
+}
+
+// operatorsAPI answers plans, and refuses the first confirm as stale.
+type operatorsAPI struct {
+	confirmed []string
+}
+
+func (a *operatorsAPI) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/plans" {
+		var req nutmegnode.PlanRequest
+		_ = json.NewDecoder(r.Body).Decode(&req)
+		_ = json.NewEncoder(w).Encode(nutmegconf.Plan{ID: "first", Base: 3, Reason: req.Reason, Intents: req.Intents})
+		return
+	}
+	id := strings.Split(r.URL.Path, "/")[3]
+	a.confirmed = append(a.confirmed, id)
+	if id == "first" {
+		w.WriteHeader(http.StatusConflict)
+		_ = json.NewEncoder(w).Encode(map[string]any{"error": nutmegnode.APIError{
+			Kind: "stale_plan", Message: "the ground has moved", Plan: &nutmegconf.Plan{ID: "second", Base: 4},
+		}})
+		return
+	}
+	_ = json.NewEncoder(w).Encode(nutmegconf.Confirmation{Plan: nutmegid.PlanID(id), Revision: 5})
+}
+
+func TestNothingIsConfirmedWithoutYes(t *testing.T) {
+	api := &operatorsAPI{}
+	server := httptest.NewServer(api)
+	defer server.Close()
+	in, err := os.Open(os.DevNull) // no terminal
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = in.Close() }()
+	var out bytes.Buffer
+	c := newClient(options{server: server.URL})
+	c.in = in
+	if err := intent(t.Context(), c, []string{"top_up", "budget=owner/kaca", "tokens=4"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	if len(api.confirmed) > 0 || !strings.Contains(out.String(), "nutmegctl confirm first") {
+		t.Errorf("confirmed %v; output:\n%s", api.confirmed, out.String())
+	}
+	out.Reset()
+	c.yes = true
+	err = intent(t.Context(), c, []string{"top_up", "budget=owner/kaca", "tokens=4"}, &out)
+	var refused *refusedError
+	if !errors.As(err, &refused) || refused.Plan.ID != "second" {
+		t.Errorf("stale plan gave %v; want the refusal with the new plan", err)
+	}
+	if diff := cmp.Diff([]string{"first"}, api.confirmed); diff != "" {
+		t.Errorf("confirmed (-want +got):\n%s", diff)
+	}
+	c.yes = false
+	if err := confirm(t.Context(), c, []string{"second"}, &out); err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(out.String(), "in force as revision 5") {
+		t.Errorf("output:\n%s", out.String())
+	}
+}
--- a/cmd/nutmegctl/main.go
+++ b/cmd/nutmegctl/main.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	nutmegctl -server http://127.0.0.1:8081 intent '{"kind":"top_up","budget":"owner/brazos","tokens":5000}'
+//	nutmegctl -server http://127.0.0.1:8081 intent top_up budget=owner/brazos tokens=5000
 //	nutmegctl -server http://127.0.0.1:8081 confirm PLAN
 package main
 
@@ -22,8 +22,13 @@
     nutmegctl [OPTIONS] COMMAND [ARGUMENTS]
 
 DESCRIPTION
-    intent JSON...       ask for a plan; nothing takes effect
+    intent KIND FIELD=VALUE...
+                         ask for a plan; nothing takes effect before a confirm.
+                         Further kinds begin further intents of the same plan;
+                         an intent may also be given as JSON
+    kinds                the kinds of intents with their fields
     confirm PLAN         put a plan into force
+    history [REVISION]   who changed what, when and why, the latest first
     status               state of each instance
     bill                 bill of each owner
     timeline             events of all instances, merged
@@ -34,6 +39,8 @@
                          asked for plans, all for status and timeline
     -key KEY             operator's key; the environment's NUTMEGWIND_KEY when absent
     -reason TEXT         why, for the history of plans
+    -yes                 confirm the plan without a question; a plan that has
+                         become stale is still refused
     -request ID          timeline: only this request
     -budget ID           timeline: only this budget
     -upstream NAME       timeline: only this upstream
@@ -48,8 +55,10 @@
     2  wrong use or faulty settings
 
 EXAMPLES
-    nutmegctl intent '{"kind":"add_owner","owner":"brazos"}' \
-        '{"kind":"add_budget","budget":"owner/brazos","tokens":2000000}'
+    nutmegctl -reason "first order" intent add_owner owner=brazos \
+        add_budget budget=owner/brazos tokens=2000000
+    nutmegctl intent add_workspace workspace=lots owner=brazos key=SECRET
+    nutmegctl -yes intent retire_upstreams upstreams=shop-1,shop-2
     nutmegctl confirm 5f0c7d0e-6a53-4a0f-9a70-0f4c9f3b7c11
     nutmegctl -server http://127.0.0.1:8081,http://127.0.0.1:8181 timeline -request ID
 `
@@ -64,6 +73,7 @@
 	upstream string
 	kind     string
 	json     bool
+	yes      bool
 }
 
 func (o *options) declare(f *flag.FlagSet) {
@@ -75,6 +85,7 @@
 	f.StringVar(&o.upstream, "upstream", "", "upstream")
 	f.StringVar(&o.kind, "kind", "", "kind of event")
 	f.BoolVar(&o.json, "json", false, "print JSON")
+	f.BoolVar(&o.yes, "yes", false, "confirm without a question")
 }
 
 func main() {
@@ -110,6 +121,7 @@
 	f.StringVar(&rest.upstream, "upstream", o.upstream, "")
 	f.StringVar(&rest.kind, "kind", o.kind, "")
 	f.BoolVar(&rest.json, "json", o.json, "")
+	f.BoolVar(&rest.yes, "yes", o.yes, "")
 	if err := f.Parse(args[1:]); err != nil {
 		return cli.Usagef("%v", err)
 	}
--- a/nutmegpeer/defaults.go
+++ b/nutmegpeer/defaults.go
@@ -23,7 +23,7 @@
 	maxMessageBytes    = 4 << 20 // of any message between peers
 	maxItemLife        = time.Hour
 	newsFactor         = 3 // digests that carry a piece of news, times the bits of the number of members
-	newsFanout         = 3 // peers that are told of a new revision at once
+	newsFanout         = 6 // peers that are told of a new revision at once
 	leaveFanout        = 8 // peers that are told of leaving at once
 	seedRounds         = 10
 	serverIdleFactor   = 3 // accepted connections stay longer than their callers keep them
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -232,7 +233,7 @@
 		case <-p.ctx.Done():
 			return
 		case <-p.news:
-			p.round(newsFanout, &p.calls)
+			p.tell()
 		case <-ticker.C:
 			p.heartbeat.Add(1)
 			p.table.age()
@@ -242,6 +243,16 @@
 	}
 }
 
+// tell begins exchanges with some peers that are not known to have the
+// revision in force here.
+func (p *Peers) tell() {
+	revision := p.cfg.Revision()
+	behind := slices.DeleteFunc(p.table.members(), func(m Member) bool { return m.Revision >= revision })
+	for _, address := range p.targets.random(newsFanout, behind, p.cfg.Self.Address) {
+		p.calls.Go(func() { p.exchange(address) })
+	}
+}
+
 // round begins exchanges with n peers. Each runs by itself, so that one silent
 // peer does not hold up the others or the next round.
 func (p *Peers) round(n int, wait *sync.WaitGroup) {
--- a/nutmegpeer/peers_test.go
+++ b/nutmegpeer/peers_test.go
@@ -201,7 +201,7 @@
 	}
 	for _, test := range tests {
 		before := p.counted(test.counter)
-		raw, err := net.Dial("tcp", p.address)
+		raw, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", p.address)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/nutmegpeer/table.go
+++ b/nutmegpeer/table.go
@@ -34,30 +34,27 @@
 	return &table{now: now, deadAfter: deadAfter, keepDead: keepDead, records: make(map[nutmegid.Incarnation]*record)}
 }
 
-// merge takes in a member if it is newer than the known one. It reports
-// whether the member is new or its state has changed.
-func (t *table) merge(m Member) bool {
+// merge takes in a member if it is newer than the known one. A dead one that
+// is not known stays unknown.
+func (t *table) merge(m Member) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.records[m.Incarnation]
 	if !ok {
-		if m.State == StateDead {
-			return false
+		if m.State != StateDead {
+			t.records[m.Incarnation] = &record{member: m, changedAt: t.now()}
+			t.order = append(t.order, m.Incarnation)
 		}
-		t.records[m.Incarnation] = &record{member: m, changedAt: t.now()}
-		t.order = append(t.order, m.Incarnation)
-		return true
+		return
 	}
 	if !m.overrides(r.member) {
-		return false
+		return
 	}
 	changed := r.member.State != m.State
 	r.member = m
 	if changed {
-		r.changedAt = t.now()
-		r.told = 0
+		r.set(m.State, t.now())
 	}
-	return changed
 }
 
 // suspect notes that the member at an address did not answer.
--- a/nutmegpeer/targets.go
+++ b/nutmegpeer/targets.go
@@ -26,13 +26,7 @@
 func (t *targets) pick(n int, members []Member, self string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	known := make(map[string]bool, len(members))
-	for _, m := range members {
-		if m.State == StateAlive || m.State == StateSuspect {
-			known[m.Address] = true
-		}
-	}
-	delete(known, self)
+	known := present(members, self)
 	var picked []string
 	t.rounds++
 	switch {
@@ -57,6 +51,29 @@
 	return picked
 }
 
+// random returns up to n addresses out of turn; seeds where no member is known.
+func (t *targets) random(n int, members []Member, self string) []string {
+	addresses := shuffled(present(members, self))
+	if len(addresses) > 0 {
+		return addresses[:min(n, len(addresses))]
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.someSeeds(n, self)
+}
+
+// present returns the addresses of members that may answer.
+func present(members []Member, self string) map[string]bool {
+	known := make(map[string]bool, len(members))
+	for _, m := range members {
+		if m.State == StateAlive || m.State == StateSuspect {
+			known[m.Address] = true
+		}
+	}
+	delete(known, self)
+	return known
+}
+
 // someSeeds returns up to n random seeds.
 func (t *targets) someSeeds(n int, self string) []string {
 	seeds := slices.DeleteFunc(slices.Clone(t.seeds), func(s string) bool { return s == self })
