Ask one peer for all members in rounds 1, 4, 16 and so on

Cause: a fleet of 100 that starts at once did not know all its members after 20 s: ten entries a digest reach the last member only after n ln n entries.

--- a/nutmegpeer/defaults.go
+++ b/nutmegpeer/defaults.go
@@ -17,6 +17,8 @@
 	DefaultIdleTimeout = 20 * time.Second
 
 	maxDigestMembers   = 10      // entries of one digest besides its sender
+	maxFullMembers     = 2048    // entries of a digest that was asked for all members
+	fullGrowth         = 4       // each round that asks for all members comes so many times later than the last
 	maxDigestItems     = 8       // pieces of gossip in one digest
 	maxDigestItemBytes = 4 << 10 // keys and values of gossip in one digest
 	maxMemberBytes     = 512     // names and address of one member
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -11,7 +11,8 @@
 //	peers.Stop()
 //
 // Each round exchanges digests of bounded size with a few peers, whatever the
-// size of the fleet: the members in turn, news first. A peer that does not
+// size of the fleet: the members in turn, news first. Only rounds 1, 4, 16 and
+// so on ask one peer for all members, so that a new instance knows the fleet. A peer that does not
 // answer is suspected; it refutes that with a higher heartbeat once it hears
 // of it, and is dead after a while if it does not. A new configuration revision
 // is told at once, not in the next round. Membership is a hint for liveness
@@ -249,20 +250,22 @@
 	revision := p.cfg.Revision()
 	behind := slices.DeleteFunc(p.table.members(), func(m Member) bool { return m.Revision >= revision })
 	for _, address := range p.targets.random(newsFanout, behind, p.cfg.Self.Address) {
-		p.calls.Go(func() { p.exchange(address) })
+		p.calls.Go(func() { p.exchange(address, false) })
 	}
 }
 
 // round begins exchanges with n peers. Each runs by itself, so that one silent
 // peer does not hold up the others or the next round.
 func (p *Peers) round(n int, wait *sync.WaitGroup) {
-	for _, address := range p.targets.pick(n, p.table.members(), p.cfg.Self.Address) {
-		wait.Go(func() { p.exchange(address) })
+	addresses, full := p.targets.pick(n, p.table.members(), p.cfg.Self.Address)
+	for i, address := range addresses {
+		wait.Go(func() { p.exchange(address, full && i == 0) })
 	}
 }
 
-func (p *Peers) exchange(address string) {
-	digest, err := p.digest(address)
+// exchange swaps digests with one peer. A full one asks it for all members.
+func (p *Peers) exchange(address string, full bool) {
+	digest, err := p.digest(address, maxDigestMembers, full)
 	if err != nil {
 		return
 	}
@@ -284,15 +287,16 @@
 	p.count("peer_exchanges")
 }
 
-func (p *Peers) digest(receiver string) (*peerpb.Digest, error) {
+func (p *Peers) digest(receiver string, members int, full bool) (*peerpb.Digest, error) {
 	d := &peerpb.Digest{
 		Fleet:    p.cfg.Fleet,
 		Sender:   p.self().proto(),
 		Receiver: receiver,
+		Full:     full,
 		Revision: uint64(p.cfg.Revision()),
 		Stamp:    p.cfg.Clock.Now().String(),
 	}
-	for _, m := range p.table.pick(maxDigestMembers, receiver) {
+	for _, m := range p.table.pick(members, receiver) {
 		d.Members = append(d.Members, m.proto())
 	}
 	d.Items = p.gossip.pick(maxDigestItems, maxDigestItemBytes, p.table.size())
@@ -307,7 +311,7 @@
 		return err
 	}
 	sender := memberOf(d.GetSender())
-	if !sender.valid() || len(d.GetMembers()) > maxDigestMembers || len(d.GetItems()) > maxDigestItems {
+	if !sender.valid() || len(d.GetMembers()) > maxFullMembers || len(d.GetItems()) > maxDigestItems {
 		p.count("peer_damaged_messages")
 		return errDamaged
 	}
@@ -385,5 +389,9 @@
 	if err := s.peers.receive(d); err != nil {
 		return nil, err
 	}
-	return s.peers.digest(d.GetSender().GetAddress())
+	members := maxDigestMembers
+	if d.GetFull() {
+		members = maxFullMembers
+	}
+	return s.peers.digest(d.GetSender().GetAddress(), members, false)
 }
--- a/nutmegpeer/swarm_test.go
+++ b/nutmegpeer/swarm_test.go
@@ -28,6 +28,7 @@
 type testPeer struct {
 	*Peers
 	revision atomic.Uint64
+	raisedAt atomic.Int64 // in nanoseconds
 	address  string
 	metrics  metrics.Registry
 }
@@ -90,6 +91,7 @@
 			return
 		}
 		if p.revision.CompareAndSwap(present, revision) {
+			p.raisedAt.Store(time.Now().UnixNano())
 			p.Announce()
 			return
 		}
--- a/nutmegpeer/targets.go
+++ b/nutmegpeer/targets.go
@@ -14,6 +14,8 @@
 	seeds  []string
 	turn   []string
 	rounds int
+	// nextFull is the round that asks for all members.
+	nextFull int
 }
 
 func (t *targets) setSeeds(seeds []string) {
@@ -22,8 +24,9 @@
 	t.seeds = slices.Clone(seeds)
 }
 
-// pick returns up to n addresses. Leaving and dead members are left out.
-func (t *targets) pick(n int, members []Member, self string) []string {
+// pick returns up to n addresses, and whether the first should be asked for all
+// members. Leaving and dead members are left out.
+func (t *targets) pick(n int, members []Member, self string) ([]string, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	known := present(members, self)
@@ -48,7 +51,11 @@
 		}
 		t.turn = shuffled(known)
 	}
-	return picked
+	full := t.rounds >= t.nextFull
+	if full && len(picked) > 0 {
+		t.nextFull = fullGrowth * max(1, t.rounds)
+	}
+	return picked, full
 }
 
 // random returns up to n addresses out of turn; seeds where no member is known.
