--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -115,3 +115,19 @@
 	probeTimeout   = 2 * time.Second
 	maxReportBytes = 1 << 20
 )
+
+const (
+	// DefaultWeightRate is the rate of the weight store, in bytes a second.
+	DefaultWeightRate = 1 << 30
+	// DefaultOrderPoll is the time between two readings of an engine's state.
+	DefaultOrderPoll = 500 * time.Millisecond
+	// DefaultOrderSettle is the time after which an order's effect is read again.
+	DefaultOrderSettle = 2 * time.Second
+	// DefaultOrderAttempts is how often an order is sent until its effect stays.
+	DefaultOrderAttempts = 5
+
+	orderTimeout     = 30 * time.Second // for an order's effect, besides the load
+	orderCallTimeout = 10 * time.Second
+	minMovedUses     = 2 // of a prefix, by this instance
+	maxMovedBlocks   = 256
+)
--- a/nutmegroute/leaving.go
+++ b/nutmegroute/leaving.go
@@ -127,19 +127,32 @@
 		return
 	}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.applyLeaving()
+	begun := p.applyLeaving()
+	p.mu.Unlock()
+	if p.cfg.OnLeave == nil {
+		return
+	}
+	for _, u := range begun {
+		p.cfg.OnLeave(p.leaving.told(u))
+	}
 }
 
-// applyLeaving marks candidates and adjusts the queues. Callers hold p.mu.
-func (p *Pool) applyLeaving() {
+// applyLeaving marks candidates, adjusts the queues and returns the upstreams
+// that begin to leave. Callers hold p.mu.
+func (p *Pool) applyLeaving() []nutmegid.Upstream {
+	var begun []nutmegid.Upstream
 	for u, c := range p.all {
 		leaving := p.leaving.has(u)
-		if c.leaving.Swap(leaving) && !leaving {
+		before := c.leaving.Swap(leaving)
+		if before && !leaving {
 			c.warmFrom.Store(int64(p.now()))
 		}
+		if leaving && !before {
+			begun = append(begun, u)
+		}
 	}
 	for _, l := range p.lanes {
 		l.queue.SetCapacity(l.set.capacity(p.now()))
 	}
+	return begun
 }
--- a/nutmegroute/pool.go
+++ b/nutmegroute/pool.go
@@ -77,6 +77,7 @@
 	Queue    QueueConfig
 	Health   HealthConfig
 	Instance nutmegid.Instance // for subsets; all upstreams are used where it is empty
+	OnLeave  func(LeavingNote) // told of each upstream that begins to leave; must not block
 	Subset   int               // upstreams of one model or route at an instance; DefaultSubset when zero
 }
 
@@ -308,7 +309,7 @@
 	k.sentAt = now
 	k.work = k.lane.set.work(c, &k.ask, now)
 	c.begin(k.ask.PromptTokens, now)
-	k.lane.set.index.add(k.ask.Prefix, c)
+	k.lane.set.index.use(k.ask.Prefix, c)
 	return nil
 }
 
--- a/nutmegroute/prefix.go
+++ b/nutmegroute/prefix.go
@@ -21,15 +21,15 @@
 
 // holders are candidates that hold a prefix, a few at most.
 type holders struct {
-	list [maxHolders]*Candidate
-	n    int
+	list  [maxHolders]*Candidate
+	n     int
+	uses  uint32 // requests of this instance
+	depth uint32 // blocks of the prefix; 0 where only events named it
 }
 
 func (h *holders) add(c *Candidate) {
-	for _, known := range h.list[:h.n] {
-		if known == c {
-			return
-		}
+	if h.has(c) {
+		return
 	}
 	if h.n < maxHolders {
 		h.list[h.n] = c
@@ -53,10 +53,8 @@
 
 // cached returns the tokens that c has of a prefix of depth blocks.
 func (h *holders) cached(c *Candidate, depth int64) int64 {
-	for _, known := range h.list[:h.n] {
-		if known == c {
-			return depth * blockTokens
-		}
+	if h.has(c) {
+		return depth * blockTokens
 	}
 	return 0
 }
@@ -88,21 +86,40 @@
 }
 
 func (x *prefixIndex) add(blocks []uint64, c *Candidate) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for _, b := range blocks {
+		found := x.entry(b)
+		found.add(c)
+		x.entries[b] = found
+	}
+}
+
+// use notes that a request with a prefix goes to c.
+func (x *prefixIndex) use(blocks []uint64, c *Candidate) {
 	if len(blocks) == 0 {
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	for _, b := range blocks {
-		found, ok := x.entries[b]
-		if !ok && len(x.entries) >= maxPrefixEntries {
-			x.dropOne()
-		}
+	for i, b := range blocks {
+		found := x.entry(b)
 		found.add(c)
+		found.uses++
+		found.depth = uint32(i + 1)
 		x.entries[b] = found
 	}
 }
 
+// entry returns what is known of a block and makes room for a new one.
+func (x *prefixIndex) entry(block uint64) holders {
+	found, ok := x.entries[block]
+	if !ok && len(x.entries) >= maxPrefixEntries {
+		x.dropOne()
+	}
+	return found
+}
+
 func (x *prefixIndex) remove(block uint64, c *Candidate) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
