--- a/nutmegconf/settings.go
+++ b/nutmegconf/settings.go
@@ -89,6 +89,8 @@
 	Timeout         Duration `toml:"timeout"`
 	WritesPerSecond float64  `toml:"writes_per_second"`
 	ReadsPerSecond  float64  `toml:"reads_per_second"`
+	// WeightBytesPerSecond is the rate of the weight store for the whole fleet; 1 GiB/s when zero.
+	WeightBytesPerSecond int64 `toml:"weight_bytes_per_second"`
 }
 
 // PeerSettings hold the fleet's secret and the first peers.
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -29,5 +29,7 @@
 	liveReadsPerSecond = 50          // of the live list by the whole fleet
 	liveTimeout        = 2 * time.Second
 	maxLiveBytes       = 8 << 20
+	maxLeavingQueue    = 256             // upstreams whose cache is still to be moved
+	orderBytes         = 1 << 30         // of a load whose size is not known
 	probeIdleLimit     = 5 * time.Second // of connections to upstreams that are kept for probes
 )
--- a/nutmegnode/routing.go
+++ b/nutmegnode/routing.go
@@ -12,11 +12,13 @@
 	n.pool = nutmegroute.NewPool(nutmegroute.PoolConfig{
 		Chooser:  nutmegroute.NewTwoChoices(uint64(time.Now().UnixNano())),
 		Instance: n.cfg.Settings.Instance.Name,
+		OnLeave:  n.upstreamLeaves,
 	})
 	n.sender = nutmegroute.NewSender(nutmegroute.SenderConfig{
 		Pool: n.pool, Dial: n.cfg.Dial, IdleTimeout: time.Duration(n.cfg.Settings.Limits.UpstreamIdle),
 	})
 	n.router = newRouter(n)
+	n.orderEngine = n.router.order
 	n.view.OnApply(n.applied)
 }
 
--- a/nutmegnode/routing_live.go
+++ b/nutmegnode/routing_live.go
@@ -6,8 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegroute"
 )
@@ -30,9 +32,15 @@
 	node   *Node
 	client *http.Client
 	prober *nutmegroute.Prober
+	orders *nutmegroute.Orderer
+	leave  chan nutmegroute.LeavingNote
 	ctx    context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
+
+	mu      sync.Mutex
+	ordered map[nutmegconf.EffectID]*orderRun
+	running sync.WaitGroup
 }
 
 func newRouter(n *Node) *router {
@@ -45,20 +53,32 @@
 		node:   n,
 		client: client,
 		prober: nutmegroute.NewProber(nutmegroute.ProberConfig{Pool: n.pool, HTTP: client}),
+		orders: nutmegroute.NewOrderer(nutmegroute.OrdererConfig{
+			Pool:           n.pool,
+			Store:          orderStore{n},
+			HTTP:           client,
+			Incarnation:    n.incarnation,
+			BytesPerSecond: n.cfg.Settings.Platform.WeightBytesPerSecond,
+		}),
+		leave:  make(chan nutmegroute.LeavingNote, maxLeavingQueue),
 		ctx:    ctx,
 		cancel: cancel,
 		done:   make(chan struct{}),
+
+		ordered: make(map[nutmegconf.EffectID]*orderRun),
 	}
 }
 
 func (r *router) start() {
 	r.prober.Start()
 	go r.loop()
+	r.running.Go(r.moveLoop)
 }
 
 func (r *router) stop() {
 	r.cancel()
 	<-r.done
+	r.running.Wait()
 	r.prober.Stop()
 	r.client.CloseIdleConnections()
 }
--- a/nutmegroute/engine_orders.go
+++ b/nutmegroute/engine_orders.go
@@ -19,9 +19,11 @@
 // The kinds of orders to engines.
 const (
 	OrderLoadModel   EngineOrderKind = "load_model"
+	OrderUnloadModel EngineOrderKind = "unload_model"
 	OrderLoadAdapter EngineOrderKind = "load_adapter"
-	OrderSetVersion  EngineOrderKind = "set_version"
-	OrderSetRole     EngineOrderKind = "set_role"
+	OrderDropAdapter EngineOrderKind = "unload_adapter"
+	OrderLoadVersion EngineOrderKind = "load_version"
+	OrderChangeRole  EngineOrderKind = "change_role"
 	OrderMoveCache   EngineOrderKind = "move_cache" // from a leaving engine; sent to no engine as an order
 )
 
@@ -182,10 +184,21 @@
 	return o.ensure(ctx, url, r.Order, r.Fence)
 }
 
+// subject is the part of an engine's state that an order changes.
+func (e EngineOrder) subject() string {
+	switch e.Kind {
+	case OrderLoadAdapter, OrderDropAdapter:
+		return "adapter " + e.Adapter
+	case OrderLoadModel, OrderUnloadModel, OrderLoadVersion:
+		return "model " + string(e.Model)
+	case OrderChangeRole, OrderMoveCache:
+	}
+	return string(e.Kind)
+}
+
 // replacedBy says whether a later order changes the same thing.
 func (e EngineOrder) replacedBy(later EngineOrder) bool {
-	sameModel := e.Model == later.Model && e.Adapter == later.Adapter
-	return e.Kind == later.Kind && (e.Kind == OrderSetRole || sameModel)
+	return e.subject() == later.subject()
 }
 
 // ensure sends an order until the engine shows its effect and keeps it.
@@ -276,12 +289,19 @@
 
 func (s engineState) shows(order EngineOrder) bool {
 	switch order.Kind {
-	case OrderLoadModel, OrderSetVersion:
+	case OrderLoadModel, OrderLoadVersion:
 		version, ok := s.Models[order.Model]
 		return ok && version == order.Version
+	case OrderUnloadModel:
+		_, ok := s.Models[order.Model]
+		return !ok
 	case OrderLoadAdapter:
-		return s.Adapters[order.Adapter] == order.Model
-	case OrderSetRole:
+		model, ok := s.Adapters[order.Adapter]
+		return ok && model == order.Model
+	case OrderDropAdapter:
+		_, ok := s.Adapters[order.Adapter]
+		return !ok
+	case OrderChangeRole:
 		return s.Role == order.Role
 	case OrderMoveCache:
 	}
--- a/nutmegroute/engine_orders_test.go
+++ b/nutmegroute/engine_orders_test.go
@@ -163,13 +163,13 @@
 }
 
 func TestEngineThatIgnoresFencingIsVerifiedByReading(t *testing.T) {
-	late := &lateOrder{want: `"role":"prefill"`, old: nutmegstand.EngineOrder{ID: "old", Fence: 0, Kind: "set_role", Role: "decode"}}
+	late := &lateOrder{want: `"role":"prefill"`, old: nutmegstand.EngineOrder{ID: "old", Fence: 0, Kind: "change_role", Role: "decode"}}
 	wrap := func(next http.Handler) http.Handler {
 		late.next = next
 		return late
 	}
 	b := newOrderBench(t, wrap, nutmegstand.EngineConfig{Fencing: false})
-	order := EngineOrder{ID: "new", Upstream: "engine-000", Kind: OrderSetRole, Role: "prefill"}
+	order := EngineOrder{ID: "new", Upstream: "engine-000", Kind: OrderChangeRole, Role: "prefill"}
 	if _, err := b.orderer("a").Run(t.Context(), order, false); err != nil {
 		t.Fatal(err)
 	}
@@ -196,7 +196,7 @@
 		t.Fatal(err)
 	}
 	waitFor(t, "the late order's effect", func() bool { return b.engines[0].State().Models["drafter"] == "v1" })
-	role := EngineOrder{ID: "o-2", Upstream: "engine-000", Kind: OrderSetRole, Role: "decode"}
+	role := EngineOrder{ID: "o-2", Upstream: "engine-000", Kind: OrderChangeRole, Role: "decode"}
 	if _, err := o.Run(t.Context(), role, false); err != nil {
 		t.Fatal(err)
 	}
--- a/nutmegstand/engine_orders.go
+++ b/nutmegstand/engine_orders.go
@@ -4,6 +4,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -11,13 +12,15 @@
 type EngineOrder struct {
 	ID      string `json:"id"`
 	Fence   uint64 `json:"fence"`
-	Kind    string `json:"kind"` // load_model, load_adapter, set_version or set_role
+	Kind    string `json:"kind"` // one of orderKinds
 	Model   string `json:"model,omitempty"`
 	Adapter string `json:"adapter,omitempty"`
 	Version string `json:"version,omitempty"`
 	Role    string `json:"role,omitempty"`
 }
 
+var orderKinds = []string{"load_model", "unload_model", "load_adapter", "unload_adapter", "load_version", "change_role"}
+
 // EngineState is what an engine has loaded.
 type EngineState struct {
 	Fence    uint64            `json:"fence"` // the highest seen; 0 where the engine ignores them
@@ -82,7 +85,7 @@
 	if !readJSON(w, r, &order) {
 		return
 	}
-	if !slices.Contains([]string{"load_model", "load_adapter", "set_version", "set_role"}, order.Kind) {
+	if !slices.Contains(orderKinds, order.Kind) {
 		http.Error(w, "the order's kind is unknown", http.StatusBadRequest)
 		return
 	}
@@ -135,7 +138,7 @@
 
 // fetch brings an order's weights from the weight store.
 func (e *Engine) fetch(order EngineOrder) bool {
-	if e.cfg.Weights == nil || order.Kind == "set_role" {
+	if e.cfg.Weights == nil || !strings.HasPrefix(order.Kind, "load_") {
 		return true
 	}
 	name := order.Model
@@ -154,11 +157,15 @@
 
 func (s *EngineState) apply(order EngineOrder) {
 	switch order.Kind {
-	case "load_model", "set_version":
+	case "load_model", "load_version":
 		s.Models[order.Model] = order.Version
+	case "unload_model":
+		delete(s.Models, order.Model)
+	case "unload_adapter":
+		delete(s.Adapters, order.Adapter)
 	case "load_adapter":
 		s.Adapters[order.Adapter] = order.Model
-	case "set_role":
+	case "change_role":
 		s.Role = order.Role
 	}
 }
--- a/nutmegstand/engine_test.go
+++ b/nutmegstand/engine_test.go
@@ -154,9 +154,9 @@
 func TestOldOrdersAreRefusedOrIgnored(t *testing.T) {
 	for _, fencing := range []bool{true, false} {
 		withEngine(t, EngineConfig{Fencing: fencing}, func(t *testing.T, e *Engine) {
-			e.give(EngineOrder{ID: "new", Fence: 9, Kind: "set_role", Role: "prefill"})
+			e.give(EngineOrder{ID: "new", Fence: 9, Kind: "change_role", Role: "prefill"})
 			synctest.Wait()
-			e.give(EngineOrder{ID: "old", Fence: 3, Kind: "set_role", Role: "decode"})
+			e.give(EngineOrder{ID: "old", Fence: 3, Kind: "change_role", Role: "decode"})
 			synctest.Wait()
 			want := map[bool]string{true: "prefill", false: "decode"}[fencing]
 			if diff := cmp.Diff(want, e.State().Role); diff != "" {
