--- a/nutmegroute/cache_move.go
+++ b/nutmegroute/cache_move.go
@@ -41,25 +41,10 @@
 		}
 		moved += len(m.blocks)
 	}
-	_, err = o.finishMove(context.WithoutCancel(ctx), record, failed)
+	_, err = o.finish(context.WithoutCancel(ctx), record, failed)
 	return moved, err
 }
 
-// finishMove keeps the last real order as it was.
-func (o *Orderer) finishMove(ctx context.Context, held OrderRecord, failed error) (OrderRecord, error) {
-	return o.cfg.Store.Change(ctx, held.Order.Upstream, func(r *OrderRecord) error {
-		if r.Fence != held.Fence {
-			return errOrderTaken
-		}
-		r.State = OrderDone
-		if failed != nil {
-			r.State = OrderFailed
-			r.Detail = failed.Error()
-		}
-		return nil
-	})
-}
-
 // cacheMove is the blocks of one model that go from one engine to another.
 type cacheMove struct {
 	from, to *Candidate
--- a/nutmegroute/engine_orders.go
+++ b/nutmegroute/engine_orders.go
@@ -157,18 +157,25 @@
 		if r.Fence != held.Fence {
 			return errOrderTaken
 		}
-		r.State = OrderDone
-		if failed != nil {
-			r.State = OrderFailed
-			r.Detail = failed.Error()
-			return nil
-		}
-		done := held.Order
-		r.Last = &done
+		r.end(failed)
 		return nil
 	})
 }
 
+// end notes the outcome. What a moved cache changes is no state to bring back.
+func (r *OrderRecord) end(failed error) {
+	if failed != nil {
+		r.State = OrderFailed
+		r.Detail = failed.Error()
+		return
+	}
+	r.State = OrderDone
+	if r.Order.Kind != OrderMoveCache {
+		done := r.Order
+		r.Last = &done
+	}
+}
+
 // carryOut brings back the last order's effect where an older message has
 // undone it, then sends the order until its effect stays.
 func (o *Orderer) carryOut(ctx context.Context, r OrderRecord) error {
--- a/nutmegroute/engine_orders_test.go
+++ b/nutmegroute/engine_orders_test.go
@@ -158,7 +158,7 @@
 	if err != nil {
 		return
 	}
-	r := httptest.NewRequest(http.MethodPost, "/orders", bytes.NewReader(body))
+	r := httptest.NewRequestWithContext(context.Background(), http.MethodPost, "/orders", bytes.NewReader(body))
 	l.next.ServeHTTP(httptest.NewRecorder(), r)
 }
 
