Copy ledger lines to a peer before an answer ends; fold by the best line; audit

Cause: lines of the last second before a crash existed in one process only, so an answered request could stay unbilled.

Ruled out: a store write for each request (34,000 a second against several hundred).

Before: TestAnswerIsBilledAlthoughItsInstanceDiesBeforeTheSegment fails without the copies (one request of two billed). After: 2 of 2, tokens equal to what ran.

Conclusion: a line is lost only with its writer and its copy's holder before the store has it, or with no peer in reach; the audit states such spend as unbilled.

--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -10,6 +10,8 @@
 	DefaultWritesPerSecond = 40
 	// DefaultReadsPerSecond is one instance's share of the platform's reads.
 	DefaultReadsPerSecond = 150
+	// DefaultDeadAfter is how long a suspected peer is waited for.
+	DefaultDeadAfter = 15 * time.Second
 	// DefaultBudgetShards is the number of objects that hold budgets.
 	DefaultBudgetShards = 1
 	// DefaultHorizon is the span of spend that a lease covers while plenty is left.
--- a/nutmegconf/settings.go
+++ b/nutmegconf/settings.go
@@ -97,6 +97,8 @@
 type PeerSettings struct {
 	Key   string   `toml:"key"`
 	Seeds []string `toml:"seeds"`
+	// DeadAfter is how long a suspected peer is waited for before its ledger lines are adopted.
+	DeadAfter Duration `toml:"dead_after"`
 }
 
 // BudgetSettings size leases.
@@ -142,6 +144,7 @@
 			WritesPerSecond: DefaultWritesPerSecond,
 			ReadsPerSecond:  DefaultReadsPerSecond,
 		},
+		Peers: PeerSettings{DeadAfter: Duration(DefaultDeadAfter)},
 		Budget: BudgetSettings{
 			Shards:         DefaultBudgetShards,
 			Horizon:        Duration(DefaultHorizon),
--- a/nutmegconf/settings_check.go
+++ b/nutmegconf/settings_check.go
@@ -126,6 +126,7 @@
 	if len(p.Key) < minPeerKeyLength {
 		c.fault("peers.key", "the key has %d characters; give all instances the same key of at least %d", len(p.Key), minPeerKeyLength)
 	}
+	c.positive("peers.dead_after", p.DeadAfter)
 	for i, seed := range p.Seeds {
 		if !isAddress(seed) {
 			c.fault("peers.seeds", "%q is no address; write ip:port", seed)
--- a/nutmegid/id.go
+++ b/nutmegid/id.go
@@ -10,7 +10,11 @@
 // All types marshal as plain JSON strings or numbers.
 package nutmegid
 
-import "github.com/google/uuid"
+import (
+	"strings"
+
+	"github.com/google/uuid"
+)
 
 // Tokens counts model tokens. Budgets, reservations and bills use this unit.
 type Tokens int64
@@ -81,6 +85,12 @@
 	return BudgetID(ownerPrefix + string(o))
 }
 
+// OwnerOf returns the owner that a budget belongs to, false for a workspace's.
+func OwnerOf(id BudgetID) (Owner, bool) {
+	name, ok := strings.CutPrefix(string(id), ownerPrefix)
+	return Owner(name), ok
+}
+
 // NewIncarnation returns a random incarnation.
 func NewIncarnation() Incarnation {
 	return Incarnation(uuid.NewString())
--- a/nutmegledger/bill.go
+++ b/nutmegledger/bill.go
@@ -1,8 +1,10 @@
 package nutmegledger
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
@@ -24,32 +26,60 @@
 // Bills is the fold of the whole ledger.
 type Bills struct {
 	Owners   map[nutmegid.Owner]*Bill `json:"owners"`
-	Repeated int                      `json:"repeated_lines"`
+	Repeated int                      `json:"repeated_lines"` // lines beyond one of each request
 }
 
 // Fold reads all segments and bills each request once.
 func Fold(ctx context.Context, l Lister) (Bills, error) {
-	objects, err := l.List(ctx, SegmentKind, "")
+	lines, repeated, err := Read(ctx, l)
 	if err != nil {
-		return Bills{}, fmt.Errorf("ledger could not be listed: %w", err)
+		return Bills{}, err
 	}
+	bills := BillsOf(lines)
+	bills.Repeated = repeated
+	return bills, nil
+}
+
+// BillsOf adds up lines of which each bills a request of its own.
+func BillsOf(lines []Line) Bills {
 	bills := Bills{Owners: make(map[nutmegid.Owner]*Bill)}
-	seen := make(map[nutmegid.RequestID]bool)
+	for _, line := range lines {
+		bills.add(line)
+	}
+	return bills
+}
+
+// Read returns one line for each request of the ledger, ordered by the end of
+// the requests, and the number of further lines. Of several lines of a request
+// an exact count goes first, then the larger one. An unreadable segment is an
+// error: a bill without it would be too small.
+func Read(ctx context.Context, l Lister) ([]Line, int, error) {
+	objects, err := l.List(ctx, SegmentKind, "")
+	if err != nil {
+		return nil, 0, fmt.Errorf("ledger could not be listed; try again once the platform answers: %w", err)
+	}
+	best := make(map[nutmegid.RequestID]Line)
+	total := 0
 	for _, object := range objects {
 		doc, err := nutmegstore.Decode[Segment](object)
 		if err != nil {
-			return Bills{}, err
+			return nil, 0, err
 		}
+		total += len(doc.Body.Lines)
 		for _, line := range doc.Body.Lines {
-			if seen[line.Request] {
-				bills.Repeated++
-				continue
+			if known, ok := best[line.Request]; !ok || line.better(known) {
+				best[line.Request] = line
 			}
-			seen[line.Request] = true
-			bills.add(line)
 		}
 	}
-	return bills, nil
+	lines := make([]Line, 0, len(best))
+	for _, line := range best {
+		lines = append(lines, line)
+	}
+	slices.SortFunc(lines, func(a, b Line) int {
+		return cmp.Or(a.EndedAt.Compare(b.EndedAt), cmp.Compare(a.Request, b.Request))
+	})
+	return lines, total - len(lines), nil
 }
 
 func (b *Bills) add(line Line) {
--- /dev/null
+++ b/nutmegledger/defaults.go
@@ -0,0 +1,18 @@
+package nutmegledger
+
+import "time"
+
+const (
+	// SegmentKind is the object kind of ledger segments.
+	SegmentKind = "ledger"
+	// DefaultFlushInterval is how often finished requests are written.
+	DefaultFlushInterval = time.Second
+	// DefaultCopyTimeout bounds how long the end of a request waits for its line's copy.
+	DefaultCopyTimeout = 250 * time.Millisecond
+	// DefaultAdoptAfter is the silence after which the lines of an unknown writer are adopted.
+	DefaultAdoptAfter = time.Minute
+
+	maxSegmentLines = 2000    // lines; keeps a segment well under a megabyte
+	maxKeptLines    = 200_000 // lines of other writers, 60 MB
+	maxBatchLines   = 1000    // lines of one copy message
+)
--- a/nutmegledger/ledger.go
+++ b/nutmegledger/ledger.go
@@ -4,19 +4,22 @@
 //
 // # Usage
 //
-//	w := nutmegledger.NewWriter(nutmegledger.WriterConfig{Store: writer, Incarnation: inc})
+//	w := nutmegledger.NewWriter(nutmegledger.WriterConfig{Store: writer, Incarnation: inc, Keeper: keeper})
 //	w.Start()
-//	w.Add(nutmegledger.Line{Request: id, Workspace: "rack", Owner: "kaca_amanah", Tokens: 120})
+//	w.Add(ctx, nutmegledger.Line{Request: id, Workspace: "rack", Owner: "kaca_amanah", Tokens: 120})
 //	err := w.Stop(ctx)
 //	bills, err := nutmegledger.Fold(ctx, client)
 //
+// A line is copied to a peer before Add returns, so that it outlives a crash
+// of its writer: a peer that holds copies of a writer that is gone writes them
+// itself. Copies may be written twice; the fold counts a request once.
+//
 // Amounts are tokens. A segment is created only if absent, under a name made
 // of the incarnation and a sequence number, so it is never written twice.
 package nutmegledger
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -24,52 +27,31 @@
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
-const (
-	// SegmentKind is the object kind of ledger segments.
-	SegmentKind = "ledger"
-	// DefaultFlushInterval is how often finished requests are written.
-	DefaultFlushInterval = time.Second
-
-	maxSegmentLines = 2000 // lines; keeps a segment well under a megabyte
-)
-
-// Line is one billed request.
-type Line struct {
-	Request   nutmegid.RequestID `json:"request"`
-	Workspace nutmegid.Workspace `json:"workspace"`
-	Owner     nutmegid.Owner     `json:"owner"`
-	Upstream  nutmegid.Upstream  `json:"upstream"`
-	Model     nutmegid.Model     `json:"model,omitempty"`
-	Route     nutmegid.Route     `json:"route,omitempty"`
-	Tokens    nutmegid.Tokens    `json:"tokens"`
-	Exact     bool               `json:"exact"` // counted by the upstream; an upper bound otherwise
-	EndedAt   time.Time          `json:"ended_at"`
-}
-
-// Segment is the body of one ledger object.
-type Segment struct {
-	Incarnation nutmegid.Incarnation `json:"incarnation"`
-	Sequence    uint64               `json:"sequence"`
-	Lines       []Line               `json:"lines"`
-}
-
 // WriterConfig configures a ledger writer.
 type WriterConfig struct {
 	Store         *nutmegstore.Writer
 	Incarnation   nutmegid.Incarnation
 	FlushInterval time.Duration // DefaultFlushInterval when zero
+	CopyTimeout   time.Duration // DefaultCopyTimeout when zero
+	Keeper        Keeper        // no copies are made when nil
 	// OnSegment is told of each written segment.
 	OnSegment func(s Segment)
 }
 
-// Writer gathers lines and writes them as segments.
+// Writer gathers lines, copies them to a peer and writes them as segments.
 type Writer struct {
 	cfg  WriterConfig
+	wake chan struct{} // a copy is wanted
 	quit chan struct{}
 	done chan struct{}
+	idle chan struct{} // closed when the copier has ended
 
-	mu    sync.Mutex
-	lines []Line
+	mu     sync.Mutex
+	lines  []Line // gathered and not confirmed by the store
+	first  uint64 // number of lines[0]; lines count from 1
+	copied uint64 // number of the last line that a peer holds
+	round  uint64 // attempts to copy so far
+	tried  chan struct{}
 
 	flushMu  sync.Mutex
 	sequence uint64
@@ -80,25 +62,55 @@
 	if cfg.FlushInterval == 0 {
 		cfg.FlushInterval = DefaultFlushInterval
 	}
-	return &Writer{cfg: cfg, quit: make(chan struct{}), done: make(chan struct{})}
+	if cfg.CopyTimeout == 0 {
+		cfg.CopyTimeout = DefaultCopyTimeout
+	}
+	return &Writer{
+		cfg:   cfg,
+		wake:  make(chan struct{}, 1),
+		quit:  make(chan struct{}),
+		done:  make(chan struct{}),
+		idle:  make(chan struct{}),
+		tried: make(chan struct{}),
+		first: 1,
+	}
 }
 
-// Start begins writing segments.
+// Start begins writing segments and copying lines.
 func (w *Writer) Start() {
 	go w.loop()
+	go w.copyLoop()
 }
 
-// Add bills one request with the next segment.
-func (w *Writer) Add(line Line) {
+// Add bills one request with the next segment. It returns when a peer holds a
+// copy of the line, and false when none does within the copy timeout; the
+// line is written all the same unless this process ends first.
+func (w *Writer) Add(ctx context.Context, line Line) bool {
+	number := w.Put(line)
+	if w.cfg.Keeper == nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, w.cfg.CopyTimeout)
+	defer cancel()
+	return w.waitCopied(ctx, number)
+}
+
+// Put bills one request with the next segment, without waiting for a copy. It
+// returns the line's number.
+func (w *Writer) Put(line Line) uint64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lines = append(w.lines, line)
+	return w.first + uint64(len(w.lines)) - 1
 }
 
 // Stop writes all remaining lines.
 func (w *Writer) Stop(ctx context.Context) error {
-	close(w.quit)
-	<-w.done
+	err := w.Flush(ctx)
+	w.Abandon()
+	if err != nil {
+		return err
+	}
 	return w.Flush(ctx)
 }
 
@@ -106,6 +118,7 @@
 func (w *Writer) Abandon() {
 	close(w.quit)
 	<-w.done
+	<-w.idle
 }
 
 func (w *Writer) loop() {
@@ -135,7 +148,7 @@
 		if err := w.write(ctx, lines); err != nil {
 			return err
 		}
-		w.drop(len(lines))
+		w.confirm(len(lines))
 	}
 }
 
@@ -145,10 +158,17 @@
 	return w.lines[:min(len(w.lines), maxSegmentLines)]
 }
 
-func (w *Writer) drop(n int) {
+// confirm forgets lines that the store holds, and lets the peer forget them.
+func (w *Writer) confirm(n int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.lines = w.lines[n:]
+	if len(w.lines) == 0 {
+		w.lines = nil
+	}
+	w.first += uint64(n)
+	w.copied = max(w.copied, w.first-1)
+	w.wakeCopier()
 }
 
 func (w *Writer) write(ctx context.Context, lines []Line) error {
@@ -167,8 +187,3 @@
 	}
 	return nil
 }
-
-// SegmentKey names a segment's object.
-func SegmentKey(incarnation nutmegid.Incarnation, sequence uint64) nutmegstore.Key {
-	return nutmegstore.Key{Kind: SegmentKind, Name: fmt.Sprintf("%s-%08d", incarnation, sequence)}
-}
--- /dev/null
+++ b/nutmegledger/ledger_test.go
@@ -0,0 +1,273 @@
+package nutmegledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegstand"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+)
+
+// store is a platform stand-in with a client.
+func store(t *testing.T) (*nutmegstand.Platform, *nutmegstore.Client) {
+	t.Helper()
+	p := nutmegstand.NewPlatform(nutmegstand.PlatformConfig{})
+	s := httptest.NewServer(p.Handler())
+	t.Cleanup(s.Close)
+	return p, nutmegstore.NewClient(nutmegstore.ClientConfig{
+		BaseURL: s.URL, WritesPerSecond: 10_000, ReadsPerSecond: 10_000, Timeout: 200 * time.Millisecond,
+	})
+}
+
+// peer is a Keeper whose calls can fail, or arrive without an answer.
+type peer struct {
+	mu     sync.Mutex
+	kept   *Kept
+	down   bool
+	silent bool
+}
+
+func newPeer() *peer {
+	return &peer{kept: NewKept(time.Now)}
+}
+
+func (p *peer) Keep(_ context.Context, b Batch) (uint64, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return 0, errors.New("peer is down")
+	}
+	held := p.kept.Keep(b)
+	if p.silent {
+		return 0, errors.New("answer is lost")
+	}
+	return held, nil
+}
+
+func line(n int) Line {
+	return Line{Request: nutmegid.RequestID(fmt.Sprintf("r%03d", n)), Workspace: "rack", Owner: "kaca", Tokens: 10, Exact: true}
+}
+
+func newTestWriter(client *nutmegstore.Client, inc nutmegid.Incarnation, k Keeper) *Writer {
+	return NewWriter(WriterConfig{
+		Store: nutmegstore.NewWriter(client, inc), Incarnation: inc, Keeper: k, FlushInterval: time.Hour,
+	})
+}
+
+func billed(t *testing.T, client *nutmegstore.Client) (requests int, tokens nutmegid.Tokens) {
+	t.Helper()
+	bills, err := Fold(t.Context(), client)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, b := range bills.Owners {
+		requests += b.Requests
+		tokens += b.Tokens
+	}
+	return requests, tokens
+}
+
+func TestLinesOfADeadWriterAreAdoptedAndBilledOnce(t *testing.T) {
+	_, client := store(t)
+	holder := newPeer()
+	dying := newTestWriter(client, "dying", holder)
+	dying.Start()
+	for n := range 5 {
+		if !dying.Add(t.Context(), line(n)) {
+			t.Fatalf("line %d has no copy", n)
+		}
+	}
+	if err := dying.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	for n := 5; n < 9; n++ {
+		dying.Add(t.Context(), line(n))
+	}
+	dying.Abandon()
+
+	adopter := newTestWriter(client, "adopter", nil)
+	adopter.Start()
+	gone := func(nutmegid.Incarnation, time.Duration) bool { return true }
+	for _, l := range holder.kept.Adopt(gone) {
+		adopter.Add(t.Context(), l)
+	}
+	if err := adopter.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	requests, tokens := billed(t, client)
+	if diff := cmp.Diff([]int{9, 90}, []int{requests, int(tokens)}); diff != "" {
+		t.Errorf("requests and tokens (-want +got):\n%s", diff)
+	}
+}
+
+func TestConfirmedLinesLeaveThePeer(t *testing.T) {
+	_, client := store(t)
+	holder := newPeer()
+	w := newTestWriter(client, "w", holder)
+	w.Start()
+	for n := range 3 {
+		w.Add(t.Context(), line(n))
+	}
+	if err := w.Flush(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	w.Add(t.Context(), line(3))
+	if diff := cmp.Diff(1, holder.kept.Lines()); diff != "" {
+		t.Errorf("kept lines (-want +got):\n%s", diff)
+	}
+	w.Abandon()
+}
+
+func TestAddReturnsWhenNoPeerTakesTheCopy(t *testing.T) {
+	_, client := store(t)
+	w := newTestWriter(client, "w", &peer{kept: NewKept(time.Now), down: true})
+	w.Start()
+	if w.Add(t.Context(), line(1)) {
+		t.Error("a line counts as copied although no peer took it")
+	}
+	if err := w.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	if requests, _ := billed(t, client); requests != 1 {
+		t.Errorf("billed %d requests; want 1", requests)
+	}
+}
+
+// blind is an API whose reads fail while it is blind.
+type blind struct {
+	*nutmegstore.Client
+	on bool
+}
+
+func (b *blind) Get(ctx context.Context, key nutmegstore.Key) (nutmegstore.Object, error) {
+	if b.on {
+		return nutmegstore.Object{}, &nutmegstore.Error{Kind: nutmegstore.KindUnavailable, Key: key}
+	}
+	return b.Client.Get(ctx, key)
+}
+
+func TestSegmentOfUnknownOutcomeIsBilledOnce(t *testing.T) {
+	platform, client := store(t)
+	api := &blind{Client: client, on: true}
+	w := NewWriter(WriterConfig{Store: nutmegstore.NewWriter(api, "w"), Incarnation: "w", FlushInterval: time.Hour})
+	w.Start()
+	w.Add(t.Context(), line(1))
+	platform.SetFaults(nutmegstand.PlatformFaults{LostAnswers: 1})
+	if err := w.Flush(t.Context()); !nutmegstore.IsKind(err, nutmegstore.KindUnknown) {
+		t.Fatalf("error is %v; want one of kind %s", err, nutmegstore.KindUnknown)
+	}
+	platform.SetFaults(nutmegstand.PlatformFaults{})
+	api.on = false
+	w.Add(t.Context(), line(2))
+	if err := w.Stop(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	requests, tokens := billed(t, client)
+	if diff := cmp.Diff([]int{2, 20}, []int{requests, int(tokens)}); diff != "" {
+		t.Errorf("requests and tokens (-want +got):\n%s", diff)
+	}
+}
+
+func TestExactLineWinsOverBound(t *testing.T) {
+	bound := Line{Request: "r", Tokens: 500}
+	exact := Line{Request: "r", Tokens: 120, Exact: true}
+	larger := Line{Request: "r", Tokens: 600}
+	got := []bool{exact.better(bound), bound.better(exact), larger.better(bound), bound.better(larger)}
+	if diff := cmp.Diff([]bool{true, false, true, false}, got); diff != "" {
+		t.Errorf("better (-want +got):\n%s", diff)
+	}
+}
+
+func TestDamagedSegmentStopsTheBill(t *testing.T) {
+	_, client := store(t)
+	if _, err := client.Create(t.Context(), SegmentKey("w", 1), []byte("damaged")); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Fold(t.Context(), client); !nutmegstore.IsKind(err, nutmegstore.KindDamaged) {
+		t.Errorf("error is %v; want one of kind %s", err, nutmegstore.KindDamaged)
+	}
+}
+
+func TestAuditStatesEveryDifference(t *testing.T) {
+	bills := Bills{Owners: map[nutmegid.Owner]*Bill{
+		"kaca":   {Owner: "kaca", Requests: 3, Tokens: 300},
+		"brazos": {Owner: "brazos", Requests: 1, Tokens: 100},
+	}}
+	spending := map[nutmegid.Owner]Spending{
+		"kaca":   {Spent: 250, Leased: 60},
+		"brazos": {Spent: 130},
+		"third":  {Spent: 0, WrittenOff: 5},
+	}
+	want := []Statement{
+		{Owner: "brazos", Requests: 1, Billed: 100, Spending: spending["brazos"], Unbilled: 30, Holds: true},
+		{Owner: "kaca", Requests: 3, Billed: 300, Spending: spending["kaca"], Unsettled: 50, Holds: true},
+		{Owner: "third", Spending: spending["third"], Holds: true},
+	}
+	if diff := cmp.Diff(want, Audit(bills, spending)); diff != "" {
+		t.Errorf("statements (-want +got):\n%s", diff)
+	}
+	forged := Audit(bills, map[nutmegid.Owner]Spending{"kaca": {Spent: 250, Leased: 10}})
+	for _, s := range forged {
+		if s.Owner == "kaca" && s.Holds {
+			t.Error("a bill over spend and leases holds")
+		}
+	}
+}
+
+// TestCopiesNeverLoseAnAcknowledgedLine draws batches, confirms, lost answers
+// and a change of peer, and checks that each line that Add called copied is in
+// the store or at the peer.
+func TestCopiesNeverLoseAnAcknowledgedLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		holder := newPeer()
+		w := NewWriter(WriterConfig{Incarnation: "w", Keeper: holder})
+		stored := 0
+		added := 0
+		copied := make(map[int]bool)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			switch rapid.SampledFrom([]string{"add", "confirm", "fail", "silent", "mend", "replace", "copy"}).Draw(t, "step") {
+			case "add":
+				w.Put(line(added))
+				added++
+			case "confirm":
+				n := rapid.IntRange(0, added-stored).Draw(t, "n")
+				w.confirm(n)
+				stored += n
+			case "fail":
+				holder.down = true
+			case "silent":
+				holder.silent = true
+			case "mend":
+				holder.down, holder.silent = false, false
+			case "replace":
+				holder = newPeer()
+				w.cfg.Keeper = holder
+				clear(copied) // the old peer is gone; only what the new one acknowledges counts
+				w.copied = w.first - 1
+			case "copy":
+				w.copyOnce()
+				for n := range int(w.copied) {
+					copied[n] = true
+				}
+			}
+		}
+		held := make(map[nutmegid.RequestID]bool)
+		for _, l := range holder.kept.Adopt(func(nutmegid.Incarnation, time.Duration) bool { return true }) {
+			held[l.Request] = true
+		}
+		for n := range copied {
+			if n >= stored && !held[line(n).Request] {
+				t.Fatalf("line %d was acknowledged and is neither stored nor held", n)
+			}
+		}
+	})
+}
--- a/nutmegnode/chat.go
+++ b/nutmegnode/chat.go
@@ -140,11 +140,6 @@
 	c.node.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindSettle, Request: c.chat.Request, Budget: c.caller.WorkspaceBudget, Upstream: use.Upstream, Tokens: settled})
 }
 
-func (n *Node) addLine(line nutmegledger.Line) {
-	line.EndedAt = time.Now()
-	n.ledger.Add(line)
-}
-
 // abandon cancels an answer that no caller reads, unless another instance has
 // taken its stream over.
 func (n *Node) abandon(a *answer) {
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -3,6 +3,7 @@
 import "time"
 
 const (
+	adoptInterval            = time.Second // between looks for writers that are gone
 	certificateCheckInterval = time.Second
 	storeConnections         = 16              // idle connections kept to the platform
 	outcomeTimeout           = 5 * time.Second // of recording a protected call's outcome
--- a/nutmegnode/lifecycle.go
+++ b/nutmegnode/lifecycle.go
@@ -86,6 +86,7 @@
 	n.completer.Start()
 	go n.follower.run(ctx)
 	go n.watchLoop(ctx)
+	go n.copies.loop(ctx)
 	n.router.start()
 	n.callers = n.serve("callers", callers, n.callerHandler())
 	n.operators = n.serve("operators", operators, n.operatorHandler())
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"sync"
@@ -64,6 +63,7 @@
 	orderEngine orderFunc // nil while engines take no orders
 	holder      *nutmegbudget.Holder
 	ledger      *nutmegledger.Writer
+	copies      *lineCopies
 	desk        *nutmegorder.Desk
 	pool        *nutmegroute.Pool
 	sender      *nutmegroute.Sender
@@ -115,6 +115,7 @@
 		Clock:   nutmegtime.NewClock(time.Now),
 	})
 	n.buildStore()
+	n.buildLedger()
 	n.buildBudget()
 	n.buildRouting()
 	n.buildAnswers()
@@ -135,11 +136,6 @@
 	})
 	n.writer = nutmegstore.NewWriter(n.client, n.incarnation)
 	n.desk = nutmegorder.NewDesk(n.writer, n.incarnation)
-	n.ledger = nutmegledger.NewWriter(nutmegledger.WriterConfig{
-		Store:       n.writer,
-		Incarnation: n.incarnation,
-		OnSegment:   n.segmentWritten,
-	})
 }
 
 func (n *Node) buildAnswers() {
@@ -162,10 +158,12 @@
 		},
 		Seeds:      s.Peers.Seeds,
 		Dial:       n.peerDial,
+		DeadAfter:  time.Duration(s.Peers.DeadAfter),
 		Clock:      n.ring.Clock(),
 		Revision:   n.revision,
 		OnRevision: n.follower.heard,
 		Library:    library{n.rollout},
+		Lines:      n.copies,
 		Health:     n.health,
 		Metrics:    n.metrics,
 	})
@@ -197,6 +195,7 @@
 	n.watchStop()
 	<-n.watchDone
 	<-n.follower.done
+	<-n.copies.done
 	n.completer.Stop()
 }
 
@@ -213,10 +212,3 @@
 	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStoreState, Detail: state})
 	n.log.WithField("state", state).Warn("platform state changed")
 }
-
-func (n *Node) segmentWritten(s nutmegledger.Segment) {
-	n.ring.Record(nutmegtime.Event{
-		Kind:   nutmegtime.KindSegment,
-		Detail: fmt.Sprintf("sequence %d, %d lines", s.Sequence, len(s.Lines)),
-	})
-}
--- /dev/null
+++ b/nutmegpeer/lines.go
@@ -0,0 +1,45 @@
+package nutmegpeer
+
+import (
+	"context"
+	"errors"
+
+	"github.com/nutmegwind/nutmegwind/nutmegpeer/peerpb"
+)
+
+// LineKeeper holds copies of the ledger lines of peers.
+type LineKeeper interface {
+	// KeepLines takes an encoded batch in and returns the number of the last
+	// line that is held without a gap.
+	KeepLines(batch []byte) (uint64, error)
+}
+
+// KeepLines hands an encoded batch of ledger lines to a peer.
+func (p *Peers) KeepLines(ctx context.Context, address string, batch []byte) (uint64, error) {
+	req := &peerpb.LinesRequest{Fleet: p.cfg.Fleet, Batch: batch}
+	var err error
+	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
+		return 0, err
+	}
+	var reply *peerpb.LinesReply
+	err = p.callContext(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		var err error
+		reply, err = client.KeepLines(ctx, req)
+		return err
+	})
+	return reply.GetHeld(), err
+}
+
+var errKeepsNoLines = errors.New("this instance keeps no ledger lines; ask another peer")
+
+// KeepLines implements peerpb.DRPCPeerServer.
+func (s *server) KeepLines(_ context.Context, r *peerpb.LinesRequest) (*peerpb.LinesReply, error) {
+	if err := s.peers.verify(r); err != nil {
+		return nil, err
+	}
+	if s.peers.cfg.Lines == nil {
+		return nil, errKeepsNoLines
+	}
+	held, err := s.peers.cfg.Lines.KeepLines(r.GetBatch())
+	return &peerpb.LinesReply{Held: held}, err
+}
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -58,6 +58,7 @@
 	Clock       *nutmegtime.Clock
 	Giver       Giver
 	Library     Library
+	Lines       LineKeeper
 	Revision    func() nutmegid.Revision
 	Health      func() (load uint32, ready bool)
 	OnRevision  func(from string, revision nutmegid.Revision) // a peer has a higher revision
--- a/nutmegtrace/fleet.go
+++ b/nutmegtrace/fleet.go
@@ -266,7 +266,7 @@
 	}
 	s.Listen = nutmegconf.ListenSettings{Callers: loopback, Operators: loopback, Peers: loopback}
 	s.Platform.URL = f.PlatformURL
-	s.Peers = nutmegconf.PeerSettings{Key: peerKey}
+	s.Peers.Key = peerKey
 	s.Limits.DrainDelay = 0
 	s.Limits.FinishTimeout = nutmegconf.Duration(finishTimeout)
 	s.Budget.CommitInterval = nutmegconf.Duration(f.cfg.CommitInterval)
--- /dev/null
+++ b/nutmegtrace/ledger_test.go
@@ -0,0 +1,65 @@
+package nutmegtrace
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegledger"
+	"github.com/nutmegwind/nutmegwind/nutmegnode"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
+	"github.com/nutmegwind/nutmegwind/nutmegstand"
+)
+
+// TestAnswerIsBilledAlthoughItsInstanceDiesBeforeTheSegment ends a request while
+// the platform takes no writes, kills its instance, and looks for the line.
+func TestAnswerIsBilledAlthoughItsInstanceDiesBeforeTheSegment(t *testing.T) {
+	f := rackFleet(t, FleetConfig{Instances: 3, Engines: 1, Adjust: func(s *nutmegconf.Settings) {
+		s.Peers.DeadAfter = nutmegconf.Duration(time.Second)
+	}})
+	waitFor(t, "instances know each other", func() bool { return f.peersKnown(t) == 2 })
+	if _, err := f.Chat(testContext(t), 0, Chat{Workspace: "rack", Prompt: "first", MaxTokens: 10}); err != nil {
+		t.Fatal(err)
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{Outage: true})
+	result, err := f.Chat(testContext(t), 0, Chat{Workspace: "rack", Prompt: "second", MaxTokens: 10})
+	if err != nil || !result.Whole {
+		t.Fatalf("chat in the outage: %+v, %v", result, err)
+	}
+	f.Nodes[0].Kill()
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+	var bills nutmegledger.Bills
+	waitFor(t, "the line is adopted", func() bool {
+		if bills, err = f.Bills(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+		return bills.Owners["kaca"] != nil && bills.Owners["kaca"].Requests == 2
+	})
+	runs := f.Engines[0].Runs()
+	var ran int64
+	for _, run := range runs {
+		ran += run.PromptTokens + run.AnswerTokens
+	}
+	if diff := cmp.Diff(ran, int64(bills.Owners["kaca"].Tokens)); diff != "" {
+		t.Errorf("billed tokens against what ran (-want +got):\n%s", diff)
+	}
+}
+
+// peersKnown returns how many other instances the first one knows as alive.
+func (f *Fleet) peersKnown(t *testing.T) int {
+	t.Helper()
+	var status nutmegnode.Status
+	if err := f.operate(testContext(t), 0, http.MethodGet, "/v1/status", nil, &status); err != nil {
+		t.Fatal(err)
+	}
+	known := 0
+	for _, m := range status.Peers {
+		if m.State == nutmegpeer.StateAlive {
+			known++
+		}
+	}
+	return known
+}
