--- a/cmd/internal/layers/layers.go
+++ b/cmd/internal/layers/layers.go
@@ -17,5 +17,5 @@
 	"nutmegconf":   {"nutmegid", "nutmegstore"},
 	"nutmegroute":  {"nutmegid"},
 	"nutmegpeer":   {"nutmegid", "nutmegtime"},
-	"nutmegstand":  {},
+	"nutmegstand":  {"nutmegid", "nutmegtime"},
 }
--- a/cmd/nutmegctl/client.go
+++ b/cmd/nutmegctl/client.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -11,6 +13,7 @@
 	"strings"
 	"time"
 
+	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 )
 
@@ -23,8 +26,21 @@
 	in   *os.File // where questions are answered
 }
 
-func newClient(o options) *client {
-	return &client{options: o, http: &http.Client{Timeout: callTimeout}, in: os.Stdin}
+func newClient(o options) (*client, error) {
+	c := &client{options: o, http: &http.Client{Timeout: callTimeout}, in: os.Stdin}
+	if o.ca == "" {
+		return c, nil
+	}
+	pem, err := os.ReadFile(o.ca)
+	if err != nil {
+		return nil, cli.Usagef("file %q of -ca is unreadable: %v", o.ca, err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, cli.Usagef("file %q of -ca holds no certificate in PEM", o.ca)
+	}
+	c.http.Transport = &http.Transport{TLSClientConfig: &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: roots}}
+	return c, nil
 }
 
 func (c *client) servers() []string {
--- a/cmd/nutmegctl/commands.go
+++ b/cmd/nutmegctl/commands.go
@@ -6,18 +6,12 @@
 	"errors"
 	"fmt"
 	"io"
-	"maps"
 	"net/http"
-	"net/url"
-	"slices"
 	"text/tabwriter"
-	"time"
 
 	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
-	"github.com/nutmegwind/nutmegwind/nutmegledger"
 	"github.com/nutmegwind/nutmegwind/nutmegnode"
-	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
 type command func(ctx context.Context, c *client, args []string, out io.Writer) error
@@ -29,6 +23,7 @@
 	"history":      history,
 	"status":       status,
 	"bill":         bill,
+	"audit":        audit,
 	"timeline":     timeline,
 	"check-config": checkConfig,
 }
@@ -72,48 +67,6 @@
 	return reason
 }
 
-func bill(ctx context.Context, c *client, _ []string, out io.Writer) error {
-	var bills nutmegledger.Bills
-	if err := c.call(ctx, c.servers()[0], http.MethodGet, "/v1/bill", nil, &bills); err != nil {
-		return err
-	}
-	if c.json {
-		return printJSON(out, bills)
-	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	_, _ = fmt.Fprintln(w, "OWNER\tWORKSPACE\tREQUESTS\tTOKENS")
-	for _, owner := range slices.Sorted(maps.Keys(bills.Owners)) {
-		b := bills.Owners[owner]
-		_, _ = fmt.Fprintf(w, "%s\t\t%d\t%d\n", owner, b.Requests, b.Tokens)
-		for _, workspace := range slices.Sorted(maps.Keys(b.Workspaces)) {
-			_, _ = fmt.Fprintf(w, "\t%s\t\t%d\n", workspace, b.Workspaces[workspace])
-		}
-	}
-	return w.Flush()
-}
-
-func timeline(ctx context.Context, c *client, _ []string, out io.Writer) error {
-	query := url.Values{"request": {c.request}, "budget": {c.budget}, "upstream": {c.upstream}, "kind": {c.kind}}
-	var lists [][]nutmegtime.Event
-	for _, server := range c.servers() {
-		var events []nutmegtime.Event
-		if err := c.call(ctx, server, http.MethodGet, "/v1/events?"+query.Encode(), nil, &events); err != nil {
-			return err
-		}
-		lists = append(lists, events)
-	}
-	merged := nutmegtime.Merge(lists...)
-	if c.json {
-		return printJSON(out, merged)
-	}
-	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	for _, e := range merged {
-		at := time.UnixMicro(e.At.Micros).UTC().Format("15:04:05.000000")
-		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s%s%s\t%d\t%s\n", at, e.Process, e.Kind, e.Request, e.Budget, e.Upstream, e.Tokens, e.Detail)
-	}
-	return w.Flush()
-}
-
 func checkConfig(_ context.Context, _ *client, args []string, out io.Writer) error {
 	if len(args) != 1 {
 		return cli.Usagef("name one settings file")
--- a/cmd/nutmegctl/main.go
+++ b/cmd/nutmegctl/main.go
@@ -31,7 +31,9 @@
     history [REVISION]   who changed what, when and why, the latest first
     status               state of each instance
     bill                 bill of each owner
-    timeline             events of all instances, merged
+    audit [OWNER]        how spend and bill of each owner differ, and why; with
+                         an owner's name, that owner's lines
+    timeline             events of all processes, merged
     check-config FILE    check an instance's settings without starting it
 
 OPTIONS
@@ -44,7 +46,10 @@
     -request ID          timeline: only this request
     -budget ID           timeline: only this budget
     -upstream NAME       timeline: only this upstream
+    -process NAME        timeline: only this process
     -kind KIND           timeline: only this kind of event
+    -out FILE            timeline: draw a picture, .svg or .png
+    -ca FILE             certificates that sign the instances' TLS, in PEM
     -json                print JSON in place of text
     -version             print the version and exit
     -h                   print this page
@@ -63,6 +68,8 @@
     nutmegctl -server http://127.0.0.1:8081,http://127.0.0.1:8181 timeline -request ID
 `
 
+const defaultServer = "http://127.0.0.1:8081"
+
 // options are all options of the program.
 type options struct {
 	server   string
@@ -71,33 +78,45 @@
 	request  string
 	budget   string
 	upstream string
+	process  string
 	kind     string
+	out      string
+	ca       string
 	json     bool
 	yes      bool
 }
 
+// declare takes the present values as defaults, so that options may stand
+// before and behind the command.
 func (o *options) declare(f *flag.FlagSet) {
-	f.StringVar(&o.server, "server", "http://127.0.0.1:8081", "operators' addresses")
-	f.StringVar(&o.key, "key", os.Getenv("NUTMEGWIND_KEY"), "operator's key")
-	f.StringVar(&o.reason, "reason", "", "why")
-	f.StringVar(&o.request, "request", "", "request id")
-	f.StringVar(&o.budget, "budget", "", "budget id")
-	f.StringVar(&o.upstream, "upstream", "", "upstream")
-	f.StringVar(&o.kind, "kind", "", "kind of event")
-	f.BoolVar(&o.json, "json", false, "print JSON")
-	f.BoolVar(&o.yes, "yes", false, "confirm without a question")
+	f.StringVar(&o.server, "server", o.server, "operators' addresses")
+	f.StringVar(&o.key, "key", o.key, "operator's key")
+	f.StringVar(&o.reason, "reason", o.reason, "why")
+	f.StringVar(&o.request, "request", o.request, "request id")
+	f.StringVar(&o.budget, "budget", o.budget, "budget id")
+	f.StringVar(&o.upstream, "upstream", o.upstream, "upstream")
+	f.StringVar(&o.process, "process", o.process, "process")
+	f.StringVar(&o.kind, "kind", o.kind, "kind of event")
+	f.StringVar(&o.out, "out", o.out, "picture file")
+	f.StringVar(&o.ca, "ca", o.ca, "certificates in PEM")
+	f.BoolVar(&o.json, "json", o.json, "print JSON")
+	f.BoolVar(&o.yes, "yes", o.yes, "confirm without a question")
 }
 
 func main() {
-	var o options
-	os.Exit(cli.Main(cli.Program{
+	o := options{server: defaultServer, key: os.Getenv("NUTMEGWIND_KEY")}
+	os.Exit(cli.Main(program(&o)))
+}
+
+func program(o *options) cli.Program {
+	return cli.Program{
 		Name:  "nutmegctl",
 		Help:  help,
 		Flags: o.declare,
 		Run: func(ctx context.Context, args []string, out io.Writer) error {
-			return run(ctx, &o, args, out)
+			return run(ctx, o, args, out)
 		},
-	}))
+	}
 }
 
 // run parses the options that stand behind the command too.
@@ -111,19 +130,14 @@
 	}
 	f := flag.NewFlagSet(args[0], flag.ContinueOnError)
 	f.SetOutput(io.Discard)
-	rest := &options{}
-	*rest = *o
-	f.StringVar(&rest.server, "server", o.server, "")
-	f.StringVar(&rest.key, "key", o.key, "")
-	f.StringVar(&rest.reason, "reason", o.reason, "")
-	f.StringVar(&rest.request, "request", o.request, "")
-	f.StringVar(&rest.budget, "budget", o.budget, "")
-	f.StringVar(&rest.upstream, "upstream", o.upstream, "")
-	f.StringVar(&rest.kind, "kind", o.kind, "")
-	f.BoolVar(&rest.json, "json", o.json, "")
-	f.BoolVar(&rest.yes, "yes", o.yes, "")
+	rest := *o
+	rest.declare(f)
 	if err := f.Parse(args[1:]); err != nil {
 		return cli.Usagef("%v", err)
 	}
-	return command(ctx, newClient(*rest), f.Args(), out)
+	c, err := newClient(rest)
+	if err != nil {
+		return err
+	}
+	return command(ctx, c, f.Args(), out)
 }
--- /dev/null
+++ b/cmd/nutmegctl/timeline.go
@@ -0,0 +1,150 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"image/color"
+	"io"
+	"math"
+	"net/http"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/palette/moreland"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
+)
+
+const (
+	pictureWidth   = 16 * vg.Inch
+	pictureMargin  = 2 * vg.Inch
+	pictureLane    = 0.6 * vg.Inch // height of one process
+	pictureDot     = 3             // points
+	microsPerMilli = 1000
+)
+
+// timeline merges the events of all processes and prints or draws them.
+func timeline(ctx context.Context, c *client, _ []string, out io.Writer) error {
+	events, failed := gatherEvents(ctx, c)
+	if len(events) == 0 && failed != nil {
+		return failed
+	}
+	if c.out != "" {
+		return errors.Join(failed, drawTimeline(events, c.out))
+	}
+	if c.json {
+		return errors.Join(failed, printJSON(out, events))
+	}
+	return errors.Join(failed, printTimeline(out, events))
+}
+
+// gatherEvents asks every process; one that does not answer leaves the others.
+func gatherEvents(ctx context.Context, c *client) ([]nutmegtime.Event, error) {
+	filter := nutmegtime.Filter{
+		Request:  nutmegid.RequestID(c.request),
+		Budget:   nutmegid.BudgetID(c.budget),
+		Upstream: nutmegid.Upstream(c.upstream),
+		Process:  c.process,
+		Kind:     nutmegtime.Kind(c.kind),
+	}
+	var lists [][]nutmegtime.Event
+	var failed error
+	for _, server := range c.servers() {
+		var events []nutmegtime.Event
+		if err := c.call(ctx, server, http.MethodGet, "/v1/events?"+filter.Query().Encode(), nil, &events); err != nil {
+			failed = errors.Join(failed, err)
+			continue
+		}
+		lists = append(lists, events)
+	}
+	return nutmegtime.Merge(lists...), failed
+}
+
+func printTimeline(out io.Writer, events []nutmegtime.Event) error {
+	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	_, _ = fmt.Fprintln(w, "TIME\tPROCESS\tKIND\tREQUEST\tBUDGET\tUPSTREAM\tTOKENS\tDETAIL")
+	for _, e := range events {
+		at := time.UnixMicro(e.At.Micros).UTC().Format("15:04:05.000000")
+		_, _ = fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n",
+			at, e.Process, e.Kind, e.Request, e.Budget, e.Upstream, e.Tokens, e.Detail)
+	}
+	return w.Flush()
+}
+
+// drawTimeline writes a picture with a lane for each process and a colour for
+// each kind of event. The file's ending chooses the format.
+func drawTimeline(events []nutmegtime.Event, file string) error {
+	if len(events) == 0 {
+		return errors.New("no event passes the filter; widen it")
+	}
+	lanes, kinds := lanesOf(events)
+	p := plot.New()
+	p.Title.Text = "events of all processes"
+	p.X.Label.Text = "milliseconds since the first event"
+	p.Legend.Top = true
+	p.Legend.Left = true
+	for i, kind := range kinds {
+		if err := addKind(p, events, kind, lanes, colorOf(i, len(kinds))); err != nil {
+			return err
+		}
+	}
+	p.NominalY(lanes...)
+	p.Y.Min, p.Y.Max = -1, float64(len(lanes))
+	height := pictureMargin + pictureLane*vg.Length(len(lanes))
+	if err := p.Save(pictureWidth, height, file); err != nil {
+		return fmt.Errorf("picture %q was not written; end its name in .svg or .png: %w", file, err)
+	}
+	return nil
+}
+
+func lanesOf(events []nutmegtime.Event) (lanes []string, kinds []nutmegtime.Kind) {
+	for _, e := range events {
+		if !slices.Contains(lanes, e.Process) {
+			lanes = append(lanes, e.Process)
+		}
+		if !slices.Contains(kinds, e.Kind) {
+			kinds = append(kinds, e.Kind)
+		}
+	}
+	slices.Sort(lanes)
+	slices.Sort(kinds)
+	return lanes, kinds
+}
+
+func colorOf(i, n int) color.Color {
+	colors := moreland.SmoothBlueRed()
+	colors.SetMax(math.Max(1, float64(n-1)))
+	c, err := colors.At(float64(i))
+	if err != nil {
+		return color.Black
+	}
+	return c
+}
+
+func addKind(p *plot.Plot, events []nutmegtime.Event, kind nutmegtime.Kind, lanes []string, c color.Color) error {
+	first := events[0].At.Micros
+	var points plotter.XYs
+	for _, e := range events {
+		if e.Kind == kind {
+			points = append(points, plotter.XY{
+				X: float64(e.At.Micros-first) / microsPerMilli,
+				Y: float64(slices.Index(lanes, e.Process)),
+			})
+		}
+	}
+	scatter, err := plotter.NewScatter(points)
+	if err != nil {
+		return err
+	}
+	scatter.GlyphStyle = draw.GlyphStyle{Color: c, Radius: vg.Points(pictureDot), Shape: draw.CircleGlyph{}}
+	p.Add(scatter)
+	p.Legend.Add(string(kind), scatter)
+	return nil
+}
--- a/cmd/nutmegstand/main.go
+++ b/cmd/nutmegstand/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
 	"github.com/nutmegwind/nutmegwind/nutmegstand"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
 const help = `NAME
@@ -28,7 +29,8 @@
 
 DESCRIPTION
     Serves one stand-in over HTTP until SIGTERM or SIGINT. PUT /faults switches
-    its faults; GET /records returns what it really did.
+    its faults; GET /records returns what it really did; GET /v1/events returns
+    its calls in the form of the time line.
 
 OPTIONS
     -listen ADDR        address, ip:port (default 127.0.0.1:0)
@@ -92,6 +94,7 @@
 		return fmt.Errorf("address %q: %w", o.listen, err)
 	}
 	_, _ = fmt.Fprintf(out, "%s %s\n", args[0], l.Addr())
+	handler = nutmegstand.WithEvents(o.name, eventKinds[args[0]], handler)
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	closed := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer closed()
@@ -101,6 +104,13 @@
 	return nil
 }
 
+// eventKinds are the kinds of the events that stand-ins record of their calls.
+var eventKinds = map[string]nutmegtime.Kind{
+	"platform": nutmegtime.KindObjectCall,
+	"engine":   nutmegtime.KindEngineCall,
+	"service":  nutmegtime.KindServiceCall,
+}
+
 func build(o options, kind string) (http.Handler, func(), error) {
 	switch kind {
 	case "platform":
--- /dev/null
+++ b/nutmegnode/metrics.go
@@ -0,0 +1,77 @@
+package nutmegnode
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rcrowley/go-metrics"
+)
+
+const metricPrefix = "nutmegwind_"
+
+var quantiles = []float64{0.5, 0.95, 0.99}
+
+// collector shows the metrics of a go-metrics registry to Prometheus.
+type collector struct {
+	registry metrics.Registry
+}
+
+// Describe implements prometheus.Collector. Metrics come and go with what the
+// instance does, so none is described in advance.
+func (c collector) Describe(chan<- *prometheus.Desc) {}
+
+// Collect implements prometheus.Collector.
+func (c collector) Collect(out chan<- prometheus.Metric) {
+	c.registry.Each(func(name string, m any) {
+		desc := prometheus.NewDesc(metricPrefix+metricName(name), "see docs/operate/metrics.md", nil, nil)
+		switch m := m.(type) {
+		case metrics.Counter:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(m.Count()))
+		case metrics.Gauge:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, float64(m.Value()))
+		case metrics.GaugeFloat64:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, m.Value())
+		case metrics.Meter:
+			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(m.Count()))
+		case metrics.Histogram:
+			s := m.Snapshot()
+			out <- summary(desc, s.Count(), s.Sum(), s.Percentiles(quantiles))
+		case metrics.Timer:
+			s := m.Snapshot()
+			out <- summary(desc, s.Count(), s.Sum(), s.Percentiles(quantiles))
+		}
+	})
+}
+
+func summary(desc *prometheus.Desc, count, sum int64, values []float64) prometheus.Metric {
+	shares := make(map[float64]float64, len(quantiles))
+	for i, q := range quantiles {
+		shares[q] = values[i]
+	}
+	return prometheus.MustNewConstSummary(desc, uint64(count), float64(sum), shares)
+}
+
+// metricName replaces what Prometheus does not allow in a name.
+func metricName(name string) string {
+	return strings.Map(func(r rune) rune {
+		switch {
+		case r >= 'a' && r <= 'z', r >= 'A' && r <= 'Z', r >= '0' && r <= '9', r == '_':
+			return r
+		}
+		return '_'
+	}, name)
+}
+
+// metricsHandler serves the node's metrics in the Prometheus text format.
+func (n *Node) metricsHandler() http.Handler {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collector{registry: n.metrics},
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return promhttp.HandlerFor(registry, promhttp.HandlerOpts{})
+}
--- a/nutmegnode/operators.go
+++ b/nutmegnode/operators.go
@@ -8,7 +8,6 @@
 	"strings"
 
 	"github.com/go-chi/chi/v5"
-	"github.com/rcrowley/go-metrics"
 
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
@@ -23,7 +22,7 @@
 	r := chi.NewRouter()
 	r.Get("/healthz", n.healthz)
 	r.Get("/readyz", n.readyz)
-	r.Get("/metrics", n.serveMetrics)
+	r.Method(http.MethodGet, "/metrics", n.metricsHandler())
 	r.Group(func(r chi.Router) {
 		r.Get("/v1/status", n.operator(nutmegconf.RoleReader, n.status))
 		r.Get("/v1/bill", n.operator(nutmegconf.RoleReader, n.bill))
@@ -89,11 +88,6 @@
 	return actor{name: bootstrapActor, OperatorConfig: nutmegconf.OperatorConfig{Role: nutmegconf.RoleOperator}}, nil
 }
 
-func (n *Node) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	metrics.WriteJSONOnce(n.metrics, w)
-}
-
 // Status is what an instance reports of itself.
 type Status struct {
 	Instance    nutmegid.Instance      `json:"instance"`
@@ -130,13 +124,7 @@
 }
 
 func (n *Node) events(w http.ResponseWriter, r *http.Request, _ actor) error {
-	q := r.URL.Query()
-	writeJSON(w, http.StatusOK, n.ring.Events(nutmegtime.Filter{
-		Request:  nutmegid.RequestID(q.Get("request")),
-		Budget:   nutmegid.BudgetID(q.Get("budget")),
-		Upstream: nutmegid.Upstream(q.Get("upstream")),
-		Kind:     nutmegtime.Kind(q.Get("kind")),
-	}))
+	writeJSON(w, http.StatusOK, n.ring.Events(nutmegtime.ParseFilter(r.URL.Query())))
 	return nil
 }
 
--- a/nutmegtime/event.go
+++ b/nutmegtime/event.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/url"
 	"slices"
 	"sync"
 
@@ -36,9 +37,9 @@
 	KindStoreState  Kind = "store_state"
 	KindUpstream    Kind = "upstream"
 	KindQuarantine  Kind = "quarantine"
-	KindEngineRun   Kind = "engine_run"
-	KindServiceRun  Kind = "service_run"
-	KindObjectWrite Kind = "object_write"
+	KindEngineCall  Kind = "engine_call"
+	KindServiceCall Kind = "service_call"
+	KindObjectCall  Kind = "object_call"
 	KindFault       Kind = "fault"
 )
 
@@ -64,6 +65,29 @@
 	Kind     Kind
 }
 
+// ParseFilter reads a filter from the parameters request, budget, upstream,
+// process and kind.
+func ParseFilter(q url.Values) Filter {
+	return Filter{
+		Request:  nutmegid.RequestID(q.Get("request")),
+		Budget:   nutmegid.BudgetID(q.Get("budget")),
+		Upstream: nutmegid.Upstream(q.Get("upstream")),
+		Process:  q.Get("process"),
+		Kind:     Kind(q.Get("kind")),
+	}
+}
+
+// Query returns the parameters that ParseFilter reads.
+func (f Filter) Query() url.Values {
+	return url.Values{
+		"request":  {string(f.Request)},
+		"budget":   {string(f.Budget)},
+		"upstream": {string(f.Upstream)},
+		"process":  {f.Process},
+		"kind":     {string(f.Kind)},
+	}
+}
+
 // Match reports whether e passes the filter.
 func (f Filter) Match(e Event) bool {
 	return matches(f.Request, e.Request) &&
