Let a second linter run wait for the first

Cause: two checks at once on one machine end with 'parallel golangci-lint is running'. Before: make check fails at lint while another runs; after: it waits.

--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,7 @@
 	@out=$$($(GOBIN)/gofumpt -l $(MODULES)); test -z "$$out" || { echo "not formatted: $$out"; exit 1; }
 
 lint:
-	$(GOBIN)/golangci-lint run $(addsuffix /...,$(addprefix ./,$(MODULES)))
+	$(GOBIN)/golangci-lint run --allow-serial-runners $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
 layers:
 	go test -count=1 -run TestLayers ./cmd/internal/layers
