--- a/cmd/nutmegctl/timeline.go
+++ b/cmd/nutmegctl/timeline.go
@@ -6,14 +6,13 @@
 	"fmt"
 	"image/color"
 	"io"
-	"math"
 	"net/http"
 	"slices"
 	"text/tabwriter"
 	"time"
 
 	"gonum.org/v1/plot"
-	"gonum.org/v1/plot/palette/moreland"
+	"gonum.org/v1/plot/palette"
 	"gonum.org/v1/plot/plotter"
 	"gonum.org/v1/plot/vg"
 	"gonum.org/v1/plot/vg/draw"
@@ -27,6 +26,9 @@
 	pictureMargin  = 2 * vg.Inch
 	pictureLane    = 0.6 * vg.Inch // height of one process
 	pictureDot     = 3             // points
+	legendShare    = 0.12          // of the time axis, free for the legend
+	saturation     = 1.0
+	brightness     = 0.85
 	microsPerMilli = 1000
 )
 
@@ -89,14 +91,15 @@
 	p.Title.Text = "events of all processes"
 	p.X.Label.Text = "milliseconds since the first event"
 	p.Legend.Top = true
-	p.Legend.Left = true
+	colors := palette.Rainbow(len(kinds), palette.Blue, palette.Red, saturation, brightness, 1).Colors()
 	for i, kind := range kinds {
-		if err := addKind(p, events, kind, lanes, colorOf(i, len(kinds))); err != nil {
+		if err := addKind(p, events, kind, lanes, colors[i]); err != nil {
 			return err
 		}
 	}
 	p.NominalY(lanes...)
 	p.Y.Min, p.Y.Max = -1, float64(len(lanes))
+	p.X.Max += legendShare * (p.X.Max - p.X.Min)
 	height := pictureMargin + pictureLane*vg.Length(len(lanes))
 	if err := p.Save(pictureWidth, height, file); err != nil {
 		return fmt.Errorf("picture %q was not written; end its name in .svg or .png: %w", file, err)
@@ -118,16 +121,6 @@
 	return lanes, kinds
 }
 
-func colorOf(i, n int) color.Color {
-	colors := moreland.SmoothBlueRed()
-	colors.SetMax(math.Max(1, float64(n-1)))
-	c, err := colors.At(float64(i))
-	if err != nil {
-		return color.Black
-	}
-	return c
-}
-
 func addKind(p *plot.Plot, events []nutmegtime.Event, kind nutmegtime.Kind, lanes []string, c color.Color) error {
 	first := events[0].At.Micros
 	var points plotter.XYs
