Share leaving upstreams among peers, seed from the live list, prove rollouts without the store

The platform's list of instances serves as seeds only. Leaving upstreams are gossip of a registered kind, told at once. /readyz says why an instance has no configuration. Tests: revisions reach 7 instances with silent watches and with the store out right after the confirm; a new instance in an outage serves only with a configuration from peers; effects of a dead confirmer are completed by another instance.

--- a/nutmegnode/callers.go
+++ b/nutmegnode/callers.go
@@ -46,7 +46,7 @@
 		return "the instance is stopping"
 	}
 	if n.view.Current() == nil {
-		return "the instance has no configuration yet"
+		return n.whyNoConfiguration()
 	}
 	return ""
 }
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -23,6 +23,10 @@
 	followRetry      = 200 * time.Millisecond
 	settleTime       = 1500 * time.Millisecond // in which a new instance hears of the highest revision among peers
 	maxConfigSources = 4                       // that are asked for a segment
+	gossipInterval   = 250 * time.Millisecond
+	gossipLife       = 10 * time.Minute
+	maxGossipItems   = 512 // of one kind
+	maxGossipBytes   = 1 << 10
 )
 
 const (
--- a/nutmegnode/lifecycle.go
+++ b/nutmegnode/lifecycle.go
@@ -76,6 +76,7 @@
 		Peers:     peers.Addr().String(),
 	}
 	n.buildPeers()
+	n.sharer.register()
 	if err := n.peers.Start(peers); err != nil {
 		return err
 	}
@@ -85,6 +86,7 @@
 	n.watchStop = cancel
 	n.completer.Start()
 	go n.follower.run(ctx)
+	go n.sharer.run(ctx)
 	go n.watchLoop(ctx)
 	go n.copies.loop(ctx)
 	n.router.start()
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -59,6 +59,7 @@
 	book        *nutmegconf.Book
 	rollout     *nutmegconf.Rollout
 	follower    *follower
+	sharer      *sharer
 	completer   *nutmegconf.Completer
 	orderEngine orderFunc // nil while engines take no orders
 	holder      *nutmegbudget.Holder
@@ -196,6 +197,7 @@
 	<-n.watchDone
 	<-n.follower.done
 	<-n.copies.done
+	<-n.sharer.done
 	n.completer.Stop()
 }
 
--- a/nutmegnode/routing_live.go
+++ b/nutmegnode/routing_live.go
@@ -11,14 +11,16 @@
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 	"github.com/nutmegwind/nutmegwind/nutmegroute"
 )
 
 // liveEntry is one line of the platform's list of live and leaving instances.
 type liveEntry struct {
-	Name  string `json:"name"`
-	Kind  string `json:"kind"` // instance, engine or service
-	State string `json:"state"`
+	Name    string `json:"name"`
+	Kind    string `json:"kind"` // instance, engine or service
+	Address string `json:"address"`
+	State   string `json:"state"`
 }
 
 const (
@@ -105,7 +107,9 @@
 func (r *router) tellInstances() int {
 	instances := []nutmegid.Instance{r.node.cfg.Settings.Instance.Name}
 	for _, m := range r.node.peers.Members() {
-		instances = append(instances, m.Instance)
+		if m.State != nutmegpeer.StateDead {
+			instances = append(instances, m.Instance)
+		}
 	}
 	r.node.pool.SetInstances(instances)
 	return len(instances)
@@ -131,9 +135,21 @@
 		return err
 	}
 	r.node.pool.TakeLive(upstreamsOf(entries))
+	r.node.peers.SetSeeds(append(seedsOf(entries), r.node.cfg.Settings.Peers.Seeds...))
 	return nil
 }
 
+// seedsOf returns the peers' addresses of the listed instances.
+func seedsOf(entries []liveEntry) []string {
+	var seeds []string
+	for _, e := range entries {
+		if e.Kind == liveKindInstance && e.State != liveStateLeaving && e.Address != "" {
+			seeds = append(seeds, e.Address)
+		}
+	}
+	return seeds
+}
+
 // upstreamsOf returns which upstreams of a list are leaving.
 func upstreamsOf(entries []liveEntry) map[nutmegid.Upstream]bool {
 	list := make(map[nutmegid.Upstream]bool)
--- a/nutmegnode/watch.go
+++ b/nutmegnode/watch.go
@@ -13,6 +13,7 @@
 func (n *Node) buildConfig() {
 	n.rollout = nutmegconf.NewRollout(nutmegconf.RolloutConfig{View: n.view})
 	n.follower = newFollower(n)
+	n.sharer = newSharer(n)
 	n.book = nutmegconf.NewBook(nutmegconf.BookConfig{
 		Store:   n.writer,
 		Rollout: n.rollout,
@@ -59,6 +60,14 @@
 	n.follower.stored(doc.Body)
 }
 
+// whyNoConfiguration says why this instance cannot serve yet.
+func (n *Node) whyNoConfiguration() string {
+	if n.client.Up() {
+		return "the instance has no configuration: no plan is confirmed yet, or the store has not answered yet"
+	}
+	return "the instance has no configuration: the store does not answer (platform.url), and no peer has given one yet (peers.seeds)"
+}
+
 // library gives peers the configuration in force.
 type library struct {
 	rollout *nutmegconf.Rollout
--- a/nutmegpeer/gossip.go
+++ b/nutmegpeer/gossip.go
@@ -28,13 +28,15 @@
 type ItemRule struct {
 	MaxItems int        // kept at once; the next to expire is dropped
 	MaxBytes int        // of a key and its value
+	Urgent   bool       // told at once, not in the next round
 	OnItem   func(Item) // called for each item of peers that is new here; may be nil
 }
 
 // Gossip spreads small items to all instances in digests of bounded size.
 type Gossip struct {
-	now   func() time.Time
-	count func(name string)
+	now      func() time.Time
+	count    func(name string)
+	announce func()
 
 	mu    sync.Mutex
 	rules map[ItemKind]ItemRule
@@ -47,8 +49,8 @@
 	told int
 }
 
-func newGossip(now func() time.Time, count func(string)) *Gossip {
-	return &Gossip{now: now, count: count, rules: make(map[ItemKind]ItemRule), items: make(map[ItemKind]map[string]*spread)}
+func newGossip(now func() time.Time, count func(string), announce func()) *Gossip {
+	return &Gossip{now: now, count: count, announce: announce, rules: make(map[ItemKind]ItemRule), items: make(map[ItemKind]map[string]*spread)}
 }
 
 // Register allows items of a kind. Items of other kinds are refused.
@@ -95,11 +97,15 @@
 		return false, fmt.Errorf("gossip %s/%s expires in %s; use a time within %s", i.Kind, i.Key, left, maxItemLife)
 	}
 	kept := g.items[i.Kind]
-	if known, ok := kept[i.Key]; ok && known.item.Version >= i.Version {
+	known, ok := kept[i.Key]
+	if ok && known.item.Version >= i.Version && known.item.Expires.After(g.now()) {
 		return false, nil
 	}
 	kept[i.Key] = &spread{item: i}
 	g.bound(kept, rule.MaxItems)
+	if rule.Urgent {
+		g.announce()
+	}
 	return true, nil
 }
 
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -103,7 +103,7 @@
 		done:    make(chan struct{}),
 		served:  make(chan struct{}),
 	}
-	p.gossip = newGossip(time.Now, p.count)
+	p.gossip = newGossip(time.Now, p.count, p.Announce)
 	p.targets.setSeeds(cfg.Seeds)
 	p.heartbeat.Store(1)
 	return p
@@ -245,11 +245,15 @@
 	}
 }
 
-// tell begins exchanges with some peers that are not known to have the
-// revision in force here.
+// tell begins exchanges with some peers: with those that are not known to have
+// the revision in force here, where there are such.
 func (p *Peers) tell() {
 	revision := p.cfg.Revision()
-	behind := slices.DeleteFunc(p.table.members(), func(m Member) bool { return m.Revision >= revision })
+	members := p.table.members()
+	behind := slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Revision >= revision })
+	if len(behind) == 0 {
+		behind = members
+	}
 	for _, address := range p.targets.random(newsFanout, behind, p.cfg.Self.Address) {
 		p.calls.Go(func() { p.exchange(address, false) })
 	}
--- /dev/null
+++ b/nutmegtrace/rollout_test.go
@@ -0,0 +1,245 @@
+package nutmegtrace
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegstand"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
+)
+
+var rolloutOwners = []OwnerSpec{{Name: "kaca", Tokens: 1000}}
+
+var rolloutWorkspaces = []WorkspaceSpec{{Name: "rack", Owner: "kaca", Tokens: 1000}}
+
+// rolloutFleet is a fleet whose first configuration is in force everywhere.
+func rolloutFleet(tb testing.TB, instances int) *Fleet {
+	tb.Helper()
+	f, err := NewFleet(FleetConfig{Instances: instances, Engines: 1, Services: 1})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	tb.Cleanup(func() {
+		if err := f.Close(); err != nil {
+			tb.Errorf("fleet did not stop: %v", err)
+		}
+	})
+	if err := f.Setup(tb.Context(), rolloutOwners, rolloutWorkspaces); err != nil {
+		tb.Fatal(err)
+	}
+	return f
+}
+
+// toggle closes or opens the workspace at one instance.
+func toggle(tb testing.TB, f *Fleet, node, n int) nutmegid.Revision {
+	tb.Helper()
+	kinds := []nutmegconf.IntentKind{nutmegconf.IntentCloseWorkspace, nutmegconf.IntentOpenWorkspace}
+	revision, err := f.Intend(tb.Context(), node, nutmegconf.Intent{Kind: kinds[n%2], Workspace: "rack"})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return revision
+}
+
+// TestRevisionReachesAllWithoutTheStore lets watches fall silent, or the store
+// fail right after the confirm: peers alone pass the revision on.
+func TestRevisionReachesAllWithoutTheStore(t *testing.T) {
+	f := rolloutFleet(t, 7)
+	for n, faults := range []nutmegstand.PlatformFaults{{SilentWatch: true}, {Outage: true}} {
+		f.Platform.SetFaults(nutmegstand.PlatformFaults{SilentWatch: true})
+		revision := toggle(t, f, n, n)
+		f.Platform.SetFaults(faults)
+		if err := f.WaitRevision(testContext(t), revision); err != nil {
+			t.Errorf("with faults %+v: %v", faults, err)
+		}
+		f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+		if err := f.waitStore(testContext(t)); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// waitStore waits until every instance reaches the store again.
+func (f *Fleet) waitStore(ctx context.Context) error {
+	for node := range f.Nodes {
+		for {
+			var status struct {
+				StoreUp bool `json:"store_up"`
+			}
+			if err := f.operate(ctx, node, http.MethodGet, "/v1/status", nil, &status); err != nil {
+				return err
+			}
+			if status.StoreUp {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return ctx.Err()
+			case <-time.After(pollInterval):
+			}
+		}
+	}
+	return nil
+}
+
+// TestNewInstanceInAnOutage starts one instance that reaches peers and one that
+// reaches nobody.
+func TestNewInstanceInAnOutage(t *testing.T) {
+	f := rolloutFleet(t, 2)
+	revision := toggle(t, f, 0, 0)
+	if err := f.WaitRevision(testContext(t), revision); err != nil {
+		t.Fatal(err)
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{Outage: true})
+	if _, err := f.AddNode(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.WaitRevision(testContext(t), revision); err != nil {
+		t.Errorf("new instance among peers: %v", err)
+	}
+	f.cfg.Adjust = func(s *nutmegconf.Settings) { s.Peers.Seeds = nil }
+	if _, err := f.AddNode(); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(http.StatusServiceUnavailable, f.readyStatus(t, 3)); diff != "" {
+		t.Errorf("ready status of an instance without anybody (-want +got):\n%s", diff)
+	}
+	result, err := f.Chat(testContext(t), 3, Chat{Workspace: "rack", Prompt: "x", MaxTokens: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Result{Status: http.StatusServiceUnavailable, Kind: "not_ready", Run: "no"}
+	if diff := cmp.Diff(want, result); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+	if err := f.WaitRevision(testContext(t), revision); err != nil {
+		t.Errorf("after the outage: %v", err)
+	}
+}
+
+// TestEffectsSurviveTheDeathOfTheirConfirmer stores a revision as a confirmer
+// does that dies before it can top the budget up.
+func TestEffectsSurviveTheDeathOfTheirConfirmer(t *testing.T) {
+	ctx := testContext(t)
+	f := rolloutFleet(t, 2)
+	client := nutmegstore.NewClient(nutmegstore.ClientConfig{BaseURL: f.PlatformURL})
+	writer := nutmegstore.NewWriter(client, "dead")
+	_, err := nutmegstore.Update(ctx, writer, nutmegconf.HeadKey, func(h *nutmegconf.Head) error {
+		h.Revision++
+		h.Pending = append(h.Pending, nutmegconf.PendingPlan{Plan: "plan", Revision: h.Revision, Effects: []nutmegconf.Effect{
+			{ID: "plan/0", Kind: nutmegconf.EffectTopUp, Budget: "workspace/rack", Tokens: 77},
+			{ID: "plan/1", Kind: nutmegconf.EffectLower, Budget: "owner/kaca", Tokens: 30},
+		}})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for {
+		doc, err := nutmegstore.Read[nutmegconf.Head](ctx, writer, nutmegconf.HeadKey)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(doc.Body.Pending) == 0 {
+			break
+		}
+		time.Sleep(pollInterval)
+	}
+	shard, err := nutmegstore.Read[nutmegbudget.Shard](ctx, writer, nutmegstore.Key{Kind: nutmegbudget.ShardKind, Name: nutmegbudget.ShardName(0)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	got := map[nutmegid.BudgetID]nutmegid.Tokens{}
+	for id, b := range shard.Body.Budgets {
+		got[id] = b.Prepaid
+	}
+	want := map[nutmegid.BudgetID]nutmegid.Tokens{"workspace/rack": 1077, "owner/kaca": 970}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("prepaid (-want +got):\n%s", diff)
+	}
+}
+
+const rolloutChanges = 20
+
+// BenchmarkRollout measures how long accepted revisions need to be in force at
+// every instance, and what the control of a fleet costs at rest.
+func BenchmarkRollout(b *testing.B) {
+	for _, n := range []int{7, 50, 100} {
+		for name, faults := range map[string]nutmegstand.PlatformFaults{"watched": {}, "silent_watches": {SilentWatch: true}} {
+			b.Run(fmt.Sprintf("instances=%d/%s", n, name), func(b *testing.B) {
+				f := rolloutFleet(b, n)
+				f.Platform.SetFaults(faults)
+				for b.Loop() {
+					f.rest(b)
+					f.rollOut(b)
+				}
+			})
+		}
+	}
+}
+
+// rest reports the cost of a fleet without requests and changes.
+func (f *Fleet) rest(b *testing.B) {
+	const rest = 5 * time.Second
+	before, spent := f.Platform.Record(), processorTime(b)
+	time.Sleep(rest)
+	after := f.Platform.Record()
+	b.ReportMetric(float64(after.Reads-before.Reads+after.Watches-before.Watches)/rest.Seconds(), "reads/s")
+	b.ReportMetric(float64(after.Writes-before.Writes)/rest.Seconds(), "writes/s")
+	b.ReportMetric(100*(processorTime(b)-spent).Seconds()/rest.Seconds()/float64(len(f.Nodes)), "%core/instance")
+}
+
+// rollOut confirms changes and reports the times from the confirm's record to
+// the revision's record at each instance.
+func (f *Fleet) rollOut(b *testing.B) {
+	var took []time.Duration
+	for n := range rolloutChanges {
+		revision := toggle(b, f, n%len(f.Nodes), n)
+		if err := f.WaitRevision(b.Context(), revision); err != nil {
+			b.Fatal(err)
+		}
+		took = append(took, f.inForce(revision)...)
+	}
+	slices.Sort(took)
+	ms := func(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+	b.ReportMetric(ms(took[len(took)/2]), "p50-ms")
+	b.ReportMetric(ms(took[len(took)*99/100]), "p99-ms")
+	b.ReportMetric(ms(took[len(took)-1]), "max-ms")
+}
+
+// inForce returns how long after the confirmer each instance had a revision.
+func (f *Fleet) inForce(revision nutmegid.Revision) []time.Duration {
+	var at []int64
+	for _, e := range f.TimeLine(nutmegtime.Filter{Kind: nutmegtime.KindRevision}) {
+		if e.Revision == revision {
+			at = append(at, e.At.Micros)
+		}
+	}
+	first := slices.Min(at)
+	var took []time.Duration
+	for _, micros := range at {
+		took = append(took, time.Duration(micros-first)*time.Microsecond)
+	}
+	return took
+}
+
+func processorTime(b *testing.B) time.Duration {
+	b.Helper()
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
