--- a/nutmegnode/answer_writer.go
+++ b/nutmegnode/answer_writer.go
@@ -37,7 +37,7 @@
 	a.buffer.Reset()
 	for _, e := range events {
 		a.buffer.WriteString("id: ")
-		a.buffer.WriteString(a.ids.ID(e.Offset))
+		a.buffer.Write(a.ids.AppendID(a.buffer.AvailableBuffer(), e.Offset))
 		a.buffer.WriteString("\ndata: ")
 		a.buffer.Write(e.Data)
 		a.buffer.WriteString("\n\n")
--- a/nutmegroute/place.go
+++ b/nutmegroute/place.go
@@ -67,6 +67,8 @@
 type IDWriter struct {
 	mac  hash.Hash
 	base string
+	sum  []byte // of base, so that each event signs only this and its offset
+	mark []byte // reused
 }
 
 // Writer returns the writer of a place's event ids.
@@ -75,43 +77,52 @@
 	if err != nil {
 		return nil, fmt.Errorf("place of request %q: %w", p.Request, err)
 	}
-	base := base64.RawURLEncoding.EncodeToString(raw) + "."
-	return &IDWriter{mac: hmac.New(sha256.New, s.key), base: base}, nil
+	return s.writer(base64.RawURLEncoding.EncodeToString(raw)), nil
+}
+
+func (s *Signer) writer(base string) *IDWriter {
+	mac := hmac.New(sha256.New, s.key)
+	mac.Write([]byte(base))
+	return &IDWriter{mac: mac, base: base + ".", sum: mac.Sum(nil)}
 }
 
 // ID returns the id of the event at an offset.
 func (w *IDWriter) ID(offset Offset) string {
-	text := w.base + strconv.FormatUint(uint64(offset), 10)
-	return text + "." + signature(w.mac, text)
+	return string(w.AppendID(nil, offset))
 }
 
-func signature(mac hash.Hash, text string) string {
-	mac.Reset()
-	mac.Write([]byte(text))
-	return base64.RawURLEncoding.EncodeToString(mac.Sum(nil)[:signatureBytes])
+// AppendID appends the id of the event at an offset.
+func (w *IDWriter) AppendID(buf []byte, offset Offset) []byte {
+	buf = append(buf, w.base...)
+	at := len(buf)
+	buf = strconv.AppendUint(buf, uint64(offset), 10)
+	w.mac.Reset()
+	w.mac.Write(w.sum)
+	w.mac.Write(buf[at:])
+	w.mark = w.mac.Sum(w.mark[:0])
+	buf = append(buf, '.')
+	return base64.RawURLEncoding.AppendEncode(buf, w.mark[:signatureBytes])
 }
 
 // Open checks an event id for a workspace and returns the place and offset that
 // it names. Errors are of type *PlaceError.
 func (s *Signer) Open(id string, workspace nutmegid.Workspace) (Place, Offset, error) {
 	forged := &PlaceError{Kind: PlaceForged}
-	cut := strings.LastIndexByte(id, '.')
-	if len(id) > maxEventIDBytes || cut < 0 {
-		return Place{}, 0, forged
-	}
-	text, given := id[:cut], id[cut+1:]
-	want := signature(hmac.New(sha256.New, s.key), text)
-	if !hmac.Equal([]byte(want), []byte(given)) {
+	if len(id) > maxEventIDBytes {
 		return Place{}, 0, forged
 	}
-	base, number, ok := strings.Cut(text, ".")
-	if !ok {
+	parts := strings.Split(id, ".")
+	if len(parts) != 3 {
 		return Place{}, 0, forged
 	}
+	base, number := parts[0], parts[1]
 	offset, err := strconv.ParseUint(number, 10, 64)
 	if err != nil {
 		return Place{}, 0, forged
 	}
+	if !hmac.Equal([]byte(s.writer(base).ID(Offset(offset))), []byte(id)) {
+		return Place{}, 0, forged
+	}
 	raw, err := base64.RawURLEncoding.DecodeString(base)
 	if err != nil {
 		return Place{}, 0, forged
--- a/nutmegroute/stream.go
+++ b/nutmegroute/stream.go
@@ -28,19 +28,6 @@
 	errDropped = errors.New("the connection ended before the answer")
 )
 
-// engineChunk is the part of an event that the sender reads.
-type engineChunk struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		FinishReason string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *struct {
-		TotalTokens nutmegid.Tokens `json:"total_tokens"`
-	} `json:"usage"`
-}
-
 // follower reads one engine stream to its end over as many connections as it takes.
 type follower struct {
 	sender *Sender
@@ -151,13 +138,12 @@
 	if offset <= f.offset {
 		return nil
 	}
-	data := []byte(ev.Data)
-	if err := f.inspect(data); err != nil {
+	if err := f.inspect(ev.Data); err != nil {
 		return err
 	}
 	f.offset = offset
 	f.progress = time.Now()
-	return f.sink(Event{Data: data, Offset: offset})
+	return f.sink(Event{Data: []byte(ev.Data), Offset: offset})
 }
 
 // offsetOf reads the event's id; events of an engine without ids are counted.
@@ -176,27 +162,23 @@
 }
 
 // inspect counts the event's tokens and looks for the end of the answer.
-func (f *follower) inspect(data []byte) error {
-	var chunk engineChunk
-	if err := json.Unmarshal(data, &chunk); err != nil {
-		return f.fail(KindLost, "send the request again", fmt.Errorf("event is no JSON chunk: %w", err))
+func (f *follower) inspect(data string) error {
+	chunk, err := parseChunk(data)
+	if err != nil {
+		return f.fail(KindLost, "send the request again", err)
 	}
-	for _, c := range chunk.Choices {
-		if c.FinishReason == abortReason {
-			return f.fail(KindCancelled, "send the request again", nil)
-		}
-		f.ended = f.ended || c.FinishReason != ""
-		if c.Delta.Content != "" {
-			f.answered++
-		}
+	if chunk.Aborted {
+		return f.fail(KindCancelled, "send the request again", nil)
 	}
+	f.ended = f.ended || chunk.Ended
+	f.answered += nutmegid.Tokens(chunk.Texts)
 	if f.place.MaxAnswer > 0 && f.answered > f.place.MaxAnswer {
 		return f.fail(KindOverran, "ask an operator to inspect the upstream", nil)
 	}
-	if chunk.Usage == nil {
+	if !chunk.Counted {
 		return nil
 	}
-	f.use.Tokens = chunk.Usage.TotalTokens
+	f.use.Tokens = chunk.Total
 	f.use.Exact = true
 	if f.place.Bound > 0 && f.use.Tokens > f.place.Bound {
 		return f.fail(KindOverran, "ask an operator to inspect the upstream", nil)
