--- /dev/null
+++ b/nutmegnode/connections_test.go
@@ -0,0 +1,116 @@
+package nutmegnode
+
+import (
+	"bufio"
+	"encoding/json"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/rcrowley/go-metrics"
+)
+
+// limited serves h with a limit of open connections.
+func limited(t *testing.T, limit int, h http.Handler) (*httptest.Server, *connLimit) {
+	t.Helper()
+	conns := newConnLimit(limit, metrics.NewGauge())
+	s := httptest.NewUnstartedServer(conns.refuse(h))
+	s.Config.ConnState = conns.state
+	s.Start()
+	t.Cleanup(s.Close)
+	return s, conns
+}
+
+// get sends one request on a connection and returns the answer's status and
+// the kind of its refusal.
+func get(t *testing.T, conn net.Conn) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://instance/", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := req.Write(conn); err != nil {
+		t.Fatal(err)
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusOK {
+		return resp.StatusCode, ""
+	}
+	var body errorBody
+	if err := json.NewDecoder(resp.Body).Decode(&body); err != nil {
+		t.Fatal(err)
+	}
+	return resp.StatusCode, body.Error.Kind
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	var d net.Dialer
+	conn, err := d.DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close() })
+	if err := conn.SetDeadline(time.Now().Add(time.Minute)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+func TestConnectionsOverTheLimitAreRefusedByKind(t *testing.T) {
+	ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	s, conns := limited(t, 2, ok)
+	address := s.Listener.Addr().String()
+	first, second := dial(t, address), dial(t, address)
+	for _, conn := range []net.Conn{first, second} {
+		if status, kind := get(t, conn); status != http.StatusOK {
+			t.Errorf("answer within the limit is %d %s", status, kind)
+		}
+	}
+	third := dial(t, address)
+	status, kind := get(t, third)
+	if diff := cmp.Diff([]any{http.StatusServiceUnavailable, "too_many_connections"}, []any{status, kind}); diff != "" {
+		t.Errorf("answer on the third connection (-want +got):\n%s", diff)
+	}
+	_ = first.Close()
+	for conns.open.Load() > 1 {
+		time.Sleep(time.Millisecond)
+	}
+	if status, kind := get(t, dial(t, address)); status != http.StatusOK {
+		t.Errorf("answer after a connection closed is %d %s", status, kind)
+	}
+}
+
+// stalled is a ResponseWriter whose connection takes nothing.
+type stalled struct {
+	http.ResponseWriter
+	deadline time.Time
+}
+
+func (s *stalled) SetWriteDeadline(at time.Time) error {
+	s.deadline = at
+	return nil
+}
+
+func TestEachWriteGetsADeadline(t *testing.T) {
+	under := &stalled{ResponseWriter: httptest.NewRecorder()}
+	var writer http.ResponseWriter
+	h := limitWrites(time.Minute, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { writer = w }))
+	h.ServeHTTP(under, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/", nil))
+	if !under.deadline.IsZero() {
+		t.Fatal("a deadline is set before anything is written")
+	}
+	if _, err := writer.Write([]byte("event")); err != nil {
+		t.Fatal(err)
+	}
+	if under.deadline.IsZero() {
+		t.Error("a write has no deadline; a caller that does not read holds its connection for ever")
+	}
+}
