--- a/cmd/nutmegload/main.go
+++ b/cmd/nutmegload/main.go
@@ -49,6 +49,8 @@
     -json          print JSON without the table
     -bills         print each owner's bill after each trace
     -settings TOML laid over the settings of embedded instances
+    -parallel N    traces to run at once (default 1)
+    -known-red FILE  failures that are passed over and printed (default KNOWN-RED.txt)
     -rate FACTOR   multiplies the rates of the loads (run)
     -for TIME      length of every load (run)
 
--- a/nutmegtrace/fleet.go
+++ b/nutmegtrace/fleet.go
@@ -26,6 +26,7 @@
 	"github.com/BurntSushi/toml"
 	"github.com/sirupsen/logrus"
 
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegnode"
@@ -121,6 +122,7 @@
 		LinkDelay:      time.Duration(t.Fleet.LinkDelay),
 		CallerDelay:    time.Duration(t.Fleet.CallerDelay),
 		Settings:       t.Fleet.Settings,
+		CommitInterval: nutmegbudget.DefaultCommitInterval,
 		Platform: nutmegstand.PlatformConfig{
 			WritesPerSecond: t.Fleet.Writes, ReadsPerSecond: t.Fleet.Reads, Seed: t.Seed, Rewindable: t.rewound(),
 		},
--- a/nutmegtrace/trace.go
+++ b/nutmegtrace/trace.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
+	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -101,6 +104,29 @@
 	end  bool                // ends the fault that Do begins
 }
 
+// String returns the step as one line, without what is empty.
+func (s Step) String() string {
+	text := fmt.Sprintf("at %v %s", time.Duration(s.At), s.Do)
+	for _, part := range []struct{ name, value string }{
+		{"for", time.Duration(s.For).String()},
+		{"instance", strconv.Itoa(s.Instance)},
+		{"from", s.From},
+		{"to", s.To},
+		{"upstreams", fmt.Sprint(s.Upstreams)},
+		{"delay", time.Duration(s.Delay).String()},
+		{"share", fmt.Sprintf("%.2f", s.Share)},
+		{"workspace", string(s.Workspace)},
+		{"budget", string(s.Budget)},
+		{"tokens", fmt.Sprint(s.Tokens)},
+		{"kind", s.Kind},
+	} {
+		if !slices.Contains([]string{"", "0s", "[]", "0.00"}, part.value) && (part.name != "tokens" || s.Tokens > 0) {
+			text += " " + part.name + "=" + part.value
+		}
+	}
+	return text
+}
+
 // AnyInstance lets the balancer choose the instance of a request.
 const AnyInstance = -1
 
@@ -141,17 +167,22 @@
 }
 
 // Check lists the stated outcomes that the measures do not meet.
-func (t Trace) Check(m Measures) []string {
+func (t Trace) Check(m Measures) []Failure {
 	counts := m.counts()
-	failures := m.Check(t.Outcome)
+	var failures []Failure
+	for _, key := range sortedKeys(t.Outcome) {
+		if counts[key] != t.Outcome[key] {
+			failures = append(failures, Failure{Measure: key, Got: counts[key], Want: t.Outcome[key]})
+		}
+	}
 	for _, key := range sortedKeys(t.AtMost) {
 		if counts[key] > t.AtMost[key] {
-			failures = append(failures, fmt.Sprintf("%s is %d; the trace states at most %d", key, counts[key], t.AtMost[key]))
+			failures = append(failures, Failure{Measure: key, Got: counts[key], Want: t.AtMost[key], Bound: "at most "})
 		}
 	}
 	for _, key := range sortedKeys(t.AtLeast) {
 		if counts[key] < t.AtLeast[key] {
-			failures = append(failures, fmt.Sprintf("%s is %d; the trace states at least %d", key, counts[key], t.AtLeast[key]))
+			failures = append(failures, Failure{Measure: key, Got: counts[key], Want: t.AtLeast[key], Bound: "at least "})
 		}
 	}
 	return failures
