--- a/nutmegtrace/revisions.go
+++ b/nutmegtrace/revisions.go
@@ -41,6 +41,7 @@
 	for {
 		select {
 		case <-w.quit:
+			w.add(w.look(instance))
 			return
 		case <-ticker.C:
 		}
--- a/nutmegtrace/soak.go
+++ b/nutmegtrace/soak.go
@@ -170,9 +170,9 @@
 	switch kind {
 	case "config":
 		s.trace.Steps = append(s.trace.Steps,
-			Step{At: nutmegconf.Duration(s.length * 7 / 10), Do: ActionCut, From: brokenInstance, To: "peers"}, // they would tell the later revision
-			Step{At: nutmegconf.Duration(s.length * 8 / 10), Do: ActionPlatformRewind, Kind: kind},
-			Step{At: nutmegconf.Duration(s.length * 9 / 10), Do: ActionReplace, Instance: 0})
+			Step{At: nutmegconf.Duration(s.length * 2 / 10), Do: ActionCut, From: brokenInstance, To: "peers"}, // they would tell the later revision
+			Step{At: nutmegconf.Duration(s.length * 3 / 10), Do: ActionPlatformRewind, Kind: kind},
+			Step{At: nutmegconf.Duration(s.length * 4 / 10), Do: ActionReplace, Instance: 0})
 		return
 	case "budget":
 		s.trace.Steps = append(s.trace.Steps, Step{
