Compact ledger segments into pages and stretch the flush with the fleet

Ruled out: a head object that lists the pages (outgrows a megabyte in months).

Before: segments grew without bound. Flush every 10 s at 450 instances: about 50 writes a second.

--- a/nutmegledger/bill.go
+++ b/nutmegledger/bill.go
@@ -51,25 +51,17 @@
 
 // Read returns one line for each request of the ledger, ordered by the end of
 // the requests, and the number of further lines. Of several lines of a request
-// an exact count goes first, then the larger one. An unreadable segment is an
-// error: a bill without it would be too small.
+// an exact count goes first, then the larger one. An unreadable segment or page
+// is an error: a bill without it would be too small.
 func Read(ctx context.Context, l Lister) ([]Line, int, error) {
-	objects, err := l.List(ctx, SegmentKind, "")
+	all, err := AllLines(ctx, l)
 	if err != nil {
-		return nil, 0, fmt.Errorf("ledger could not be listed; try again once the platform answers: %w", err)
+		return nil, 0, err
 	}
 	best := make(map[nutmegid.RequestID]Line)
-	total := 0
-	for _, object := range objects {
-		doc, err := nutmegstore.Decode[Segment](object)
-		if err != nil {
-			return nil, 0, err
-		}
-		total += len(doc.Body.Lines)
-		for _, line := range doc.Body.Lines {
-			if known, ok := best[line.Request]; !ok || line.better(known) {
-				best[line.Request] = line
-			}
+	for _, line := range all {
+		if known, ok := best[line.Request]; !ok || line.better(known) {
+			best[line.Request] = line
 		}
 	}
 	lines := make([]Line, 0, len(best))
@@ -79,7 +71,34 @@
 	slices.SortFunc(lines, func(a, b Line) int {
 		return cmp.Or(a.EndedAt.Compare(b.EndedAt), cmp.Compare(a.Request, b.Request))
 	})
-	return lines, total - len(lines), nil
+	return lines, len(all) - len(lines), nil
+}
+
+// AllLines returns every line of the ledger, repeated ones included.
+func AllLines(ctx context.Context, l Lister) ([]Line, error) {
+	// Segments first: what compaction moves meanwhile is found in the pages.
+	lines, err := segmentLines(ctx, l)
+	if err != nil {
+		return nil, err
+	}
+	moved, err := pageLines(ctx, l)
+	return append(lines, moved...), err
+}
+
+func segmentLines(ctx context.Context, l Lister) ([]Line, error) {
+	objects, err := l.List(ctx, SegmentKind, "")
+	if err != nil {
+		return nil, fmt.Errorf("ledger could not be listed; try again once the platform answers: %w", err)
+	}
+	var lines []Line
+	for _, object := range objects {
+		doc, err := nutmegstore.Decode[Segment](object)
+		if err != nil {
+			return nil, err
+		}
+		lines = append(lines, doc.Body.Lines...)
+	}
+	return lines, nil
 }
 
 func (b *Bills) add(line Line) {
--- a/nutmegledger/defaults.go
+++ b/nutmegledger/defaults.go
@@ -5,6 +5,10 @@
 const (
 	// SegmentKind is the object kind of ledger segments.
 	SegmentKind = "ledger"
+	// PageKind is the object kind of ledger pages.
+	PageKind = "ledger_page"
+	// DefaultMinSegments is the number of segments from which on they are compacted.
+	DefaultMinSegments = 256
 	// DefaultFlushInterval is how often finished requests are written.
 	DefaultFlushInterval = time.Second
 	// DefaultCopyTimeout bounds how long the end of a request waits for its line's copy.
@@ -13,6 +17,7 @@
 	DefaultAdoptAfter = time.Minute
 
 	maxSegmentLines = 2000    // lines; keeps a segment well under a megabyte
+	maxPageLines    = 8000    // lines; about 450 kB compressed
 	maxKeptLines    = 200_000 // lines of other writers, 60 MB
 	maxBatchLines   = 1000    // lines of one copy message
 )
--- a/nutmegledger/ledger.go
+++ b/nutmegledger/ledger.go
@@ -32,8 +32,11 @@
 	Store         *nutmegstore.Writer
 	Incarnation   nutmegid.Incarnation
 	FlushInterval time.Duration // DefaultFlushInterval when zero
-	CopyTimeout   time.Duration // DefaultCopyTimeout when zero
-	Keeper        Keeper        // no copies are made when nil
+	// Stretch multiplies the flush interval; 1 when nil. It grows with the fleet,
+	// so that the writes of all instances together stay below the platform's rate.
+	Stretch     func() int
+	CopyTimeout time.Duration // DefaultCopyTimeout when zero
+	Keeper      Keeper        // no copies are made when nil
 	// OnSegment is told of each written segment.
 	OnSegment func(s Segment)
 }
@@ -123,18 +126,26 @@
 
 func (w *Writer) loop() {
 	defer close(w.done)
-	ticker := time.NewTicker(w.cfg.FlushInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(w.cfg.FlushInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-w.quit:
 			return
-		case <-ticker.C:
+		case <-timer.C:
 			_ = w.Flush(context.Background())
+			timer.Reset(w.interval())
 		}
 	}
 }
 
+func (w *Writer) interval() time.Duration {
+	if w.cfg.Stretch == nil {
+		return w.cfg.FlushInterval
+	}
+	return w.cfg.FlushInterval * time.Duration(max(1, w.cfg.Stretch()))
+}
+
 // Flush writes the gathered lines. Lines stay with the writer until the store
 // has confirmed their segment.
 func (w *Writer) Flush(ctx context.Context) error {
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -3,6 +3,8 @@
 import "time"
 
 const (
+	compactInterval          = time.Minute // between looks at the number of ledger segments
+	ledgerWritesPerSecond    = 50          // segments of the whole fleet
 	adoptInterval            = time.Second // between looks for writers that are gone
 	certificateCheckInterval = time.Second
 	storeConnections         = 16              // idle connections kept to the platform
--- a/nutmegnode/ledger.go
+++ b/nutmegnode/ledger.go
@@ -23,6 +23,7 @@
 		Store:       n.writer,
 		Incarnation: n.incarnation,
 		Keeper:      n.copies,
+		Stretch:     n.ledgerStretch,
 		OnSegment:   n.segmentWritten,
 	})
 }
@@ -34,6 +35,11 @@
 	})
 }
 
+// ledgerStretch keeps the fleet's segments below ledgerWritesPerSecond.
+func (n *Node) ledgerStretch() int {
+	return 1 + len(n.peers.Members())/ledgerWritesPerSecond
+}
+
 // addLine bills one request. It returns when a peer holds a copy of the line,
 // or none takes one in time.
 func (n *Node) addLine(line nutmegledger.Line) {
@@ -108,21 +114,42 @@
 	return c.kept.Keep(b), nil
 }
 
-// loop adopts the lines of writers that are gone.
+// loop adopts the lines of writers that are gone, and compacts the ledger.
 func (c *lineCopies) loop(ctx context.Context) {
 	defer close(c.done)
-	ticker := time.NewTicker(adoptInterval)
-	defer ticker.Stop()
+	adopt := time.NewTicker(adoptInterval)
+	defer adopt.Stop()
+	compact := time.NewTicker(compactInterval)
+	defer compact.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-adopt.C:
 			c.adopt()
+		case <-compact.C:
+			c.compact(ctx)
 		}
 	}
 }
 
+// compact runs at the live instance with the lowest incarnation. Two that both
+// take themselves for it leave lines twice, which the fold counts once.
+func (c *lineCopies) compact(ctx context.Context) {
+	for _, m := range c.node.peers.Members() {
+		if m.State == nutmegpeer.StateAlive && m.Incarnation < c.node.incarnation {
+			return
+		}
+	}
+	moved, err := nutmegledger.Compact(ctx, c.node.writer, c.node.client, nutmegledger.DefaultMinSegments)
+	if err != nil {
+		c.node.count("ledger_compaction_failures")
+	}
+	if moved > 0 {
+		c.node.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindSegment, Detail: fmt.Sprintf("compacted %d segments", moved)})
+	}
+}
+
 func (c *lineCopies) adopt() {
 	states := make(map[nutmegid.Incarnation]nutmegpeer.State)
 	for _, m := range c.node.peers.Members() {
--- a/nutmegtrace/records.go
+++ b/nutmegtrace/records.go
@@ -58,14 +58,9 @@
 	return nutmegstore.NewClient(nutmegstore.ClientConfig{BaseURL: t.PlatformURL, HTTP: &http.Client{Transport: t.client.Transport}})
 }
 
-// Lines reads all lines of the ledger.
+// Lines reads all lines of the ledger, repeated ones included.
 func (t *Target) Lines(ctx context.Context) ([]nutmegledger.Line, error) {
-	segments, err := bodies[nutmegledger.Segment](ctx, t.store(), nutmegledger.SegmentKind)
-	var lines []nutmegledger.Line
-	for _, s := range segments {
-		lines = append(lines, s.Lines...)
-	}
-	return lines, err
+	return nutmegledger.AllLines(ctx, t.store())
 }
 
 func (t *Target) shards(ctx context.Context) ([]nutmegbudget.Shard, error) {
