--- a/nutmegledger/bill.go
+++ b/nutmegledger/bill.go
@@ -74,7 +74,8 @@
 	return lines, len(all) - len(lines), nil
 }
 
-// AllLines returns every line of the ledger, repeated ones included.
+// AllLines returns every line of the ledger, repeated ones included. Of the
+// lines of one request, the one that bills it comes first.
 func AllLines(ctx context.Context, l Lister) ([]Line, error) {
 	// Segments first: what compaction moves meanwhile is found in the pages.
 	lines, err := segmentLines(ctx, l)
@@ -82,7 +83,23 @@
 		return nil, err
 	}
 	moved, err := pageLines(ctx, l)
-	return append(lines, moved...), err
+	if err != nil {
+		return nil, err
+	}
+	lines = append(lines, moved...)
+	slices.SortStableFunc(lines, compareLines)
+	return lines, nil
+}
+
+// compareLines puts the better line first.
+func compareLines(a, b Line) int {
+	switch {
+	case a.better(b):
+		return -1
+	case b.better(a):
+		return 1
+	}
+	return 0
 }
 
 func segmentLines(ctx context.Context, l Lister) ([]Line, error) {
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -3,9 +3,10 @@
 import "time"
 
 const (
-	compactInterval          = time.Minute // between looks at the number of ledger segments
-	ledgerWritesPerSecond    = 50          // segments of the whole fleet
-	adoptInterval            = time.Second // between looks for writers that are gone
+	compactInterval          = time.Minute     // between looks at the number of ledger segments
+	ledgerWritesPerSecond    = 50              // segments of the whole fleet
+	adoptSuspectAfter        = 2 * time.Second // silence of a suspected writer; a wrong guess only repeats lines
+	adoptInterval            = time.Second     // between looks for writers that are gone
 	certificateCheckInterval = time.Second
 	storeConnections         = 16              // idle connections kept to the platform
 	outcomeTimeout           = 5 * time.Second // of recording a protected call's outcome
--- a/nutmegnode/ledger.go
+++ b/nutmegnode/ledger.go
@@ -157,7 +157,13 @@
 	}
 	lines := c.kept.Adopt(func(writer nutmegid.Incarnation, silence time.Duration) bool {
 		state, known := states[writer]
-		return state == nutmegpeer.StateDead || (!known && silence > nutmegledger.DefaultAdoptAfter)
+		switch {
+		case !known:
+			return silence > nutmegledger.DefaultAdoptAfter
+		case state == nutmegpeer.StateSuspect:
+			return silence > adoptSuspectAfter
+		}
+		return state == nutmegpeer.StateDead
 	})
 	if len(lines) == 0 {
 		return
