--- a/nutmegnode/follower.go
+++ b/nutmegnode/follower.go
@@ -83,6 +83,7 @@
 			select {
 			case <-ctx.Done():
 				return
+			case <-f.wake: // something newer is known
 			case <-time.After(followRetry/2 + rand.N(followRetry)):
 			}
 		}
@@ -108,7 +109,7 @@
 		return false
 	}
 	f.fetch(ctx, peer)
-	return false
+	return f.node.revision() >= max(told, head.Revision)
 }
 
 // fetch takes a peer's revision. What a peer has is durable: it came from the store.
