--- a/cmd/nutmegctl/intent.go
+++ b/cmd/nutmegctl/intent.go
@@ -10,13 +10,14 @@
 	"maps"
 	"net/http"
 	"net/url"
-	"os"
 	"reflect"
 	"slices"
 	"strconv"
 	"strings"
 	"text/tabwriter"
 
+	"golang.org/x/term"
+
 	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -57,7 +58,7 @@
 
 // ask puts the question on a terminal; elsewhere the answer is no.
 func (c *client) ask(out io.Writer) bool {
-	if c.json || !isTerminal(c.in) {
+	if c.json || !term.IsTerminal(int(c.in.Fd())) {
 		return false
 	}
 	_, _ = fmt.Fprint(out, "confirm this plan? [y/N] ")
@@ -65,11 +66,6 @@
 	return err == nil && strings.EqualFold(strings.TrimSpace(line), "y")
 }
 
-func isTerminal(f *os.File) bool {
-	info, err := f.Stat()
-	return err == nil && info.Mode()&os.ModeCharDevice != 0
-}
-
 func confirm(ctx context.Context, c *client, args []string, out io.Writer) error {
 	if len(args) != 1 {
 		return cli.Usagef("name one plan")
--- a/cmd/nutmegctl/intent_test.go
+++ b/cmd/nutmegctl/intent_test.go
@@ -94,7 +94,7 @@
 	if err := intent(t.Context(), c, []string{"top_up", "budget=owner/kaca", "tokens=4"}, &out); err != nil {
 		t.Fatal(err)
 	}
-	if len(api.confirmed) > 0 || !strings.Contains(out.String(), "nutmegctl confirm first") {
+	if len(api.confirmed) > 0 || !strings.Contains(out.String(), "nutmegctl confirm first") || strings.Contains(out.String(), "[y/N]") {
 		t.Errorf("confirmed %v; output:\n%s", api.confirmed, out.String())
 	}
 	out.Reset()
