--- a/nutmegtrace/soak.go
+++ b/nutmegtrace/soak.go
@@ -170,9 +170,11 @@
 	switch kind {
 	case "config":
 		s.trace.Steps = append(s.trace.Steps,
-			Step{At: nutmegconf.Duration(s.length * 2 / 10), Do: ActionCut, From: brokenInstance, To: "peers"}, // they would tell the later revision
+			Step{Do: ActionTopUp, Instance: 1, Budget: nutmegid.WorkspaceBudget(s.trace.Workspaces[0].Name), Tokens: 1}, // a revision to go back from
+			Step{At: nutmegconf.Duration(s.length * 2 / 10), Do: ActionCut, From: brokenInstance, To: "peers"},          // they would tell the later revision
 			Step{At: nutmegconf.Duration(s.length * 3 / 10), Do: ActionPlatformRewind, Kind: kind},
-			Step{At: nutmegconf.Duration(s.length * 4 / 10), Do: ActionReplace, Instance: 0})
+			Step{At: nutmegconf.Duration(s.length * 35 / 100), Do: ActionKill, Instance: 0},
+			Step{At: nutmegconf.Duration(s.length * 4 / 10), Do: ActionStart, Instance: 0})
 		return
 	case "budget":
 		s.trace.Steps = append(s.trace.Steps, Step{
--- a/nutmegtrace/soak_test.go
+++ b/nutmegtrace/soak_test.go
@@ -29,17 +29,25 @@
 // brokenTrace is a soak without other faults whose rule of a kind is broken.
 func brokenTrace(t *testing.T, kind string) Trace {
 	t.Helper()
-	trace, err := Soak(SoakConfig{Seed: 3, Length: 3 * time.Second, Deployment: brazos, Broken: kind})
+	length := 3 * time.Second
+	if kind == "config" {
+		length = 6 * time.Second // an instance stops and starts in it
+	}
+	trace, err := Soak(SoakConfig{Seed: 3, Length: length, Deployment: brazos, Broken: kind})
 	if err != nil {
 		t.Fatal(err)
 	}
 	kept := trace.Steps[:0]
 	for _, s := range trace.Steps {
 		switch s.Do {
-		case ActionPlatformUnchecked, ActionPlatformEdit, ActionPlatformRewind, ActionReplace, ActionOrder, ActionChat, ActionTopUp:
+		case ActionPlatformUnchecked, ActionPlatformEdit, ActionPlatformRewind, ActionReplace, ActionOrder, ActionChat:
 			kept = append(kept, s)
-		case ActionCut:
-			if kind == "config" && s.From == brokenInstance && s.For == 0 {
+		case ActionTopUp:
+			if kind != "config" || s.At == 0 { // none after the configuration went back
+				kept = append(kept, s)
+			}
+		case ActionCut, ActionKill, ActionStart:
+			if kind == "config" && s.For == 0 && (s.Do != ActionCut || s.From == brokenInstance) {
 				kept = append(kept, s)
 			}
 		}
