Bill the lines of an instance that stops while the platform is out

Cause: a stop during an outage gave up the ledger after one attempt, and peers took over only lines of suspected or dead writers, not of leaving ones.

Before: such lines stayed with the stopped process.

--- a/nutmegledger/defaults.go
+++ b/nutmegledger/defaults.go
@@ -16,6 +16,8 @@
 	// DefaultAdoptAfter is the silence after which the lines of an unknown writer are adopted.
 	DefaultAdoptAfter = time.Minute
 
+	stopRetryInterval = 100 * time.Millisecond
+
 	maxSegmentLines = 2000    // lines; keeps a segment well under a megabyte
 	maxPageLines    = 8000    // lines; about 450 kB compressed
 	maxKeptLines    = 200_000 // lines of other writers, 60 MB
--- a/nutmegledger/ledger.go
+++ b/nutmegledger/ledger.go
@@ -107,14 +107,18 @@
 	return w.first + uint64(len(w.lines)) - 1
 }
 
-// Stop writes all remaining lines.
+// Stop writes all remaining lines, again and again until ctx ends.
 func (w *Writer) Stop(ctx context.Context) error {
-	err := w.Flush(ctx)
 	w.Abandon()
-	if err != nil {
-		return err
+	err := w.Flush(ctx)
+	for err != nil && ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-time.After(stopRetryInterval):
+		}
+		err = w.Flush(ctx)
 	}
-	return w.Flush(ctx)
+	return err
 }
 
 // Abandon ends the writer without writing its remaining lines.
--- a/nutmegnode/ledger.go
+++ b/nutmegnode/ledger.go
@@ -160,7 +160,7 @@
 		switch {
 		case !known:
 			return silence > nutmegledger.DefaultAdoptAfter
-		case state == nutmegpeer.StateSuspect:
+		case state == nutmegpeer.StateSuspect, state == nutmegpeer.StateLeaving:
 			return silence > adoptSuspectAfter
 		}
 		return state == nutmegpeer.StateDead
--- a/nutmegtrace/ledger_test.go
+++ b/nutmegtrace/ledger_test.go
@@ -14,11 +14,25 @@
 	"github.com/nutmegwind/nutmegwind/nutmegstand"
 )
 
-// TestAnswerIsBilledAlthoughItsInstanceDiesBeforeTheSegment ends a request while
-// the platform takes no writes, kills its instance, and looks for the line.
-func TestAnswerIsBilledAlthoughItsInstanceDiesBeforeTheSegment(t *testing.T) {
+// TestAnswerIsBilledAlthoughItsInstanceEndsBeforeTheSegment ends a request
+// while the platform takes no writes, ends its instance, and looks for the line.
+func TestAnswerIsBilledAlthoughItsInstanceEndsBeforeTheSegment(t *testing.T) {
+	ends := map[string]func(t *testing.T, n *nutmegnode.Node){
+		"killed": func(_ *testing.T, n *nutmegnode.Node) { n.Kill() },
+		"stopped in the outage": func(t *testing.T, n *nutmegnode.Node) {
+			if err := n.Stop(testContext(t)); err == nil {
+				t.Error("stop reports no error although the ledger was not written")
+			}
+		},
+	}
+	for name, end := range ends {
+		t.Run(name, func(t *testing.T) { testAdoption(t, end) })
+	}
+}
+
+func testAdoption(t *testing.T, end func(t *testing.T, n *nutmegnode.Node)) {
 	f := rackFleet(t, FleetConfig{Instances: 3, Engines: 1, Adjust: func(s *nutmegconf.Settings) {
-		s.Peers.DeadAfter = nutmegconf.Duration(time.Second)
+		s.Limits.FinishTimeout = nutmegconf.Duration(300 * time.Millisecond)
 	}})
 	waitFor(t, "instances know each other", func() bool { return f.peersKnown(t) == 2 })
 	if _, err := f.Chat(testContext(t), 0, Chat{Workspace: "rack", Prompt: "first", MaxTokens: 10}); err != nil {
@@ -29,8 +43,9 @@
 	if err != nil || !result.Whole {
 		t.Fatalf("chat in the outage: %+v, %v", result, err)
 	}
-	f.Nodes[0].Kill()
+	end(t, f.Nodes[0])
 	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+	f.Nodes = f.Nodes[1:]
 	var bills nutmegledger.Bills
 	waitFor(t, "the line is adopted", func() bool {
 		if bills, err = f.Bills(testContext(t)); err != nil {
@@ -38,9 +53,8 @@
 		}
 		return bills.Owners["kaca"] != nil && bills.Owners["kaca"].Requests == 2
 	})
-	runs := f.Engines[0].Runs()
 	var ran int64
-	for _, run := range runs {
+	for _, run := range f.Engines[0].Runs() {
 		ran += run.PromptTokens + run.AnswerTokens
 	}
 	if diff := cmp.Diff(ran, int64(bills.Owners["kaca"].Tokens)); diff != "" {
