Spread the looks at pending effects over the fleet

Cause: every instance looked at a pending effect each 3 to 6 s; at 450 that is 200 store reads a second for as long as a lowered budget has leases out.

--- a/nutmegconf/completer.go
+++ b/nutmegconf/completer.go
@@ -14,6 +14,9 @@
 	Book    *Book
 	Delay   time.Duration // before another instance's effects are completed; DefaultCompleteDelay when zero
 	OnError func(error)
+	// Instances returns the size of the fleet, so that the fleet as a whole looks
+	// at pending effects at the same rate whatever its size; 1 when nil.
+	Instances func() int
 }
 
 // Completer carries out effects that their confirmer has left behind. All
@@ -36,6 +39,9 @@
 	if cfg.OnError == nil {
 		cfg.OnError = func(error) {}
 	}
+	if cfg.Instances == nil {
+		cfg.Instances = func() int { return 1 }
+	}
 	return &Completer{cfg: cfg, wake: make(chan struct{}, 1), done: make(chan struct{})}
 }
 
@@ -87,7 +93,7 @@
 }
 
 func (c *Completer) pause(ctx context.Context) bool {
-	timer := time.NewTimer(c.cfg.Delay + rand.N(c.cfg.Delay))
+	timer := time.NewTimer(c.cfg.Delay + rand.N(c.spread()))
 	defer timer.Stop()
 	select {
 	case <-ctx.Done():
@@ -97,6 +103,11 @@
 	}
 }
 
+// spread is the span over which the instances' looks are spread.
+func (c *Completer) spread() time.Duration {
+	return c.cfg.Delay * time.Duration(max(1, c.cfg.Instances()/completersAtOnce))
+}
+
 func (c *Completer) complete(ctx context.Context) {
 	if c.oldest() == 0 {
 		return
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -57,6 +57,7 @@
 	maxRollBack      = 500     // revisions that a roll back may go back
 	maxLoads         = 3       // reads of the head while newer revisions come into force
 	maxHistory       = 100     // entries of one page of history
+	completersAtOnce = 7       // instances that look at pending effects in one delay
 	keyHashBytes     = 32
 	minPeerKeyLength = 16   // characters
 	maxBudgetShards  = 4096 // objects
--- a/nutmegconf/memory_test.go
+++ b/nutmegconf/memory_test.go
@@ -154,6 +154,13 @@
 	return true, nil
 }
 
+// times returns how often an effect was carried out.
+func (l *ledger) times(id EffectID) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.applied[id]
+}
+
 // Budget implements Live.
 func (l *ledger) Budget(_ context.Context, id nutmegid.BudgetID) (BudgetState, error) {
 	l.mu.Lock()
--- a/nutmegnode/watch.go
+++ b/nutmegnode/watch.go
@@ -22,7 +22,11 @@
 		Live:    n.newLive,
 		Remover: n.client,
 	})
-	n.completer = nutmegconf.NewCompleter(nutmegconf.CompleterConfig{Book: n.book, OnError: n.effectFailed})
+	n.completer = nutmegconf.NewCompleter(nutmegconf.CompleterConfig{
+		Book:      n.book,
+		OnError:   n.effectFailed,
+		Instances: func() int { return 1 + len(n.peers.Members()) },
+	})
 	n.view.OnApply(n.announce)
 }
 
