--- /dev/null
+++ b/nutmegledger/codec_test.go
@@ -0,0 +1,47 @@
+package nutmegledger
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestBatchTravelsWhole(t *testing.T) {
+	l := fullLine(7)
+	l.EndedAt = time.UnixMicro(1_765_000_000_123_456).UTC()
+	want := Batch{Writer: "w", First: 3, Lines: []Line{l, line(1)}, Confirmed: 2}
+	raw, err := EncodeBatch(want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := DecodeBatch(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b time.Time) bool { return a.Round(time.Microsecond).Equal(b.Round(time.Microsecond)) })); diff != "" {
+		t.Errorf("batch (-want +got):\n%s", diff)
+	}
+}
+
+// FuzzDecodeBatch takes any bytes in: a batch is refused or kept within bounds.
+func FuzzDecodeBatch(f *testing.F) {
+	raw, err := EncodeBatch(Batch{Writer: "w", First: 1, Lines: []Line{line(1)}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Add([]byte{})
+	f.Add([]byte{0xff, 0x00})
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		b, err := DecodeBatch(raw)
+		if err != nil {
+			return
+		}
+		k := NewKept(time.Now)
+		k.Keep(b)
+		if k.Lines() > len(b.Lines) {
+			t.Errorf("kept %d of %d lines", k.Lines(), len(b.Lines))
+		}
+	})
+}
--- a/nutmegledger/copies.go
+++ b/nutmegledger/copies.go
@@ -12,10 +12,10 @@
 // Batch is a run of a writer's numbered lines. Lines up to Confirmed are in
 // the store; their copies may be forgotten.
 type Batch struct {
-	Writer    nutmegid.Incarnation `json:"writer"`
-	First     uint64               `json:"first"`
-	Lines     []Line               `json:"lines,omitempty"`
-	Confirmed uint64               `json:"confirmed"`
+	Writer    nutmegid.Incarnation `cbor:"1,keyasint"`
+	First     uint64               `cbor:"2,keyasint"`
+	Lines     []Line               `cbor:"3,keyasint,omitempty"`
+	Confirmed uint64               `cbor:"4,keyasint"`
 }
 
 // Keeper hands a batch to a peer and returns the number of the last line that
--- a/nutmegledger/line.go
+++ b/nutmegledger/line.go
@@ -10,15 +10,15 @@
 
 // Line is one billed request.
 type Line struct {
-	Request   nutmegid.RequestID `json:"request"`
-	Workspace nutmegid.Workspace `json:"workspace"`
-	Owner     nutmegid.Owner     `json:"owner"`
-	Upstream  nutmegid.Upstream  `json:"upstream"`
-	Model     nutmegid.Model     `json:"model,omitempty"`
-	Route     nutmegid.Route     `json:"route,omitempty"`
-	Tokens    nutmegid.Tokens    `json:"tokens"`
-	Exact     bool               `json:"exact"` // counted by the upstream; an upper bound otherwise
-	EndedAt   time.Time          `json:"ended_at"`
+	Request   nutmegid.RequestID `json:"request" cbor:"1,keyasint"`
+	Workspace nutmegid.Workspace `json:"workspace" cbor:"2,keyasint"`
+	Owner     nutmegid.Owner     `json:"owner" cbor:"3,keyasint"`
+	Upstream  nutmegid.Upstream  `json:"upstream" cbor:"4,keyasint"`
+	Model     nutmegid.Model     `json:"model,omitempty" cbor:"5,keyasint,omitempty"`
+	Route     nutmegid.Route     `json:"route,omitempty" cbor:"6,keyasint,omitempty"`
+	Tokens    nutmegid.Tokens    `json:"tokens" cbor:"7,keyasint"`
+	Exact     bool               `json:"exact" cbor:"8,keyasint"` // counted by the upstream; an upper bound otherwise
+	EndedAt   time.Time          `json:"ended_at" cbor:"9,keyasint"`
 }
 
 // better reports whether l replaces other as the line that bills a request:
--- a/nutmegnode/ledger.go
+++ b/nutmegnode/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -68,7 +67,7 @@
 	if !ok {
 		return 0, errNoPeer
 	}
-	raw, err := json.Marshal(b)
+	raw, err := nutmegledger.EncodeBatch(b)
 	if err != nil {
 		return 0, err
 	}
@@ -107,9 +106,9 @@
 
 // KeepLines implements nutmegpeer.LineKeeper.
 func (c *lineCopies) KeepLines(batch []byte) (uint64, error) {
-	var b nutmegledger.Batch
-	if err := json.Unmarshal(batch, &b); err != nil {
-		return 0, fmt.Errorf("batch of ledger lines is no JSON; upgrade all instances to the same version: %w", err)
+	b, err := nutmegledger.DecodeBatch(batch)
+	if err != nil {
+		return 0, err
 	}
 	return c.kept.Keep(b), nil
 }
