Check the ranges of three newer settings

Cause: keep_unread, upstream_idle and weight_bytes_per_second took any value. Before: a negative one was accepted; after: it is a fault with its line.

--- a/nutmegconf/settings_check.go
+++ b/nutmegconf/settings_check.go
@@ -120,6 +120,7 @@
 	c.positive("platform.timeout", p.Timeout)
 	c.between("platform.writes_per_second", p.WritesPerSecond, 1, 1000)
 	c.between("platform.reads_per_second", p.ReadsPerSecond, 1, 10_000)
+	c.between("platform.weight_bytes_per_second", float64(p.WeightBytesPerSecond), 0, 1<<50)
 }
 
 func (c *checker) peers(p PeerSettings) {
@@ -160,6 +161,8 @@
 	c.positive("limits.body_timeout", l.BodyTimeout)
 	c.positive("limits.write_timeout", l.WriteTimeout)
 	c.positive("limits.idle_timeout", l.IdleTimeout)
+	c.positive("limits.keep_unread", l.KeepUnread)
+	c.positive("limits.upstream_idle", l.UpstreamIdle)
 	c.positive("limits.shutdown_timeout", l.ShutdownTimeout)
 	c.positive("limits.finish_timeout", l.FinishTimeout)
 	if l.DrainDelay < 0 || l.DrainDelay >= l.ShutdownTimeout {
