Keys of chats over the fleet, order outcomes through outages, shared suspects

Cause: a retry with a key ran a chat again at another instance; an order whose outcome the store did not take stayed unknown; an order that did not run could not be sent again; a request that crashes engines was sent for as long as its caller tried.

Ruled out: writing a record for every chat (rate of the store), asking the store for suspects on each request, deciding by time that a claimant has died.

--- a/nutmegnode/answers.go
+++ b/nutmegnode/answers.go
@@ -28,10 +28,13 @@
 type answer struct {
 	key      answerKey // without a key when the caller sent none
 	bodyHash string
+	scope    string // how far the key holds
 	request  nutmegid.RequestID
 	log      *nutmegroute.AnswerLog
 	cancel   context.CancelCauseFunc
-	onUnread func() // called when no caller has read for a while
+	release  func()        // frees the timer of the caller's deadline
+	ready    chan struct{} // closed when request and scope are set
+	onUnread func()        // called when no caller has read for a while
 
 	mu      sync.Mutex
 	readers int
@@ -73,6 +76,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.ended = true
+	a.release()
 	if a.unread != nil {
 		a.unread.Stop()
 	}
@@ -123,6 +127,15 @@
 	return a, false
 }
 
+// rename gives an answer the request id under which its key is held.
+func (t *answers) rename(a *answer, request nutmegid.RequestID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.running, a.request)
+	a.request = request
+	t.running[request] = a
+}
+
 // find returns the running or kept answer of a request.
 func (t *answers) find(request nutmegid.RequestID) (*answer, bool) {
 	t.mu.Lock()
--- a/nutmegnode/apierror.go
+++ b/nutmegnode/apierror.go
@@ -43,6 +43,7 @@
 	var store *nutmegstore.Error
 	var mismatch *nutmegorder.BodyMismatchError
 	var place *nutmegroute.PlaceError
+	var claim *nutmegorder.ClaimError
 	switch {
 	case errors.As(err, &known):
 		return known
@@ -52,6 +53,8 @@
 		return &APIError{Status: routeStatus(route.Kind), Kind: string(route.Kind), Message: err.Error(), Run: route.Ran}
 	case errors.As(err, &place):
 		return refusal(placeStatus(place.Kind), string(place.Kind), err.Error())
+	case errors.As(err, &claim):
+		return claimRefusal(claim)
 	case errors.As(err, &mismatch):
 		return refusal(http.StatusUnprocessableEntity, "key_reused", err.Error())
 	case errors.As(err, &store):
@@ -67,6 +70,16 @@
 	return http.StatusPaymentRequired
 }
 
+// claimRefusal says of an order without a claim that this sending did not run;
+// where an earlier one had the key, the order itself may have.
+func claimRefusal(e *nutmegorder.ClaimError) *APIError {
+	refused := refusal(http.StatusServiceUnavailable, "order_not_claimed", e.Error())
+	if e.Claimed {
+		refused.Run = nutmegroute.RanUnknown
+	}
+	return refused
+}
+
 func routeStatus(kind nutmegroute.ErrorKind) int {
 	switch kind {
 	case nutmegroute.KindNoUpstream, nutmegroute.KindRefused, nutmegroute.KindSuspect:
--- a/nutmegnode/callers.go
+++ b/nutmegnode/callers.go
@@ -1,6 +1,7 @@
 package nutmegnode
 
 import (
+	"fmt"
 	"net/http"
 	"strings"
 
@@ -22,6 +23,7 @@
 		r.Post("/v1/chat/completions", n.caller(n.chat))
 		r.Get("/v1/chat/completions/stream", n.caller(n.resumeStream))
 		r.Get("/v1/models", n.caller(n.models))
+		r.Get("/v1/orders/{route}/{key}", n.caller(n.order))
 		r.HandleFunc("/v1/services/{route}", n.caller(n.service))
 		r.HandleFunc("/v1/services/{route}/*", n.caller(n.service))
 	})
@@ -104,6 +106,9 @@
 	if !ok {
 		return nil, refusal(http.StatusUnauthorized, "unknown_key", "the key belongs to no workspace; ask an operator for one")
 	}
+	if len(r.Header.Get(keyHeader)) > maxKeyBytes {
+		return nil, refusal(http.StatusBadRequest, "bad_key", fmt.Sprintf("the %s is over %d bytes; send a shorter one", keyHeader, maxKeyBytes))
+	}
 	body, err := n.readBody(w, r)
 	if err != nil {
 		return nil, err
--- a/nutmegnode/chat.go
+++ b/nutmegnode/chat.go
@@ -42,6 +42,8 @@
 		request:  r.id,
 		log:      nutmegroute.NewAnswerLog(0, maxHeldBytes),
 		cancel:   cancel,
+		release:  cancelDeadline,
+		ready:    make(chan struct{}),
 	}
 	a.onUnread = func() { n.abandon(a) }
 	a, mine, err := n.answers.begin(a)
@@ -53,16 +55,47 @@
 		return err
 	}
 	if mine {
-		run := &chatRun{node: n, caller: r.caller, chat: chat, answer: a}
-		n.running.Add(1)
-		go run.run(ctx, cancelDeadline)
+		n.startChat(ctx, r, a, chat)
 	} else {
 		w.Header().Set(replayedHeader, "true")
-		w.Header().Set(requestHeader, string(a.request))
 	}
+	select {
+	case <-a.ready:
+	case <-r.Context().Done():
+		return context.Cause(r.Context())
+	}
+	if a.key.key != "" {
+		w.Header().Set(keyScopeHeader, a.scope)
+	}
+	w.Header().Set(requestHeader, string(a.request))
 	return n.deliver(w, r, a, 0, parsed.Stream)
 }
 
+// startChat runs a new chat, or reads the answer that another instance has
+// begun under the chat's key. A refusal ends the answer with it.
+func (n *Node) startChat(ctx context.Context, r *request, a *answer, chat nutmegroute.Chat) {
+	defer close(a.ready)
+	record, mine := chatKeyRecord{Request: a.request}, true
+	if a.key.key != "" {
+		var err error
+		record, mine, a.scope, err = n.claimChat(ctx, a)
+		if err != nil {
+			a.log.Finish(err)
+			n.answers.finish(a, false)
+			return
+		}
+		n.answers.rename(a, record.Request)
+	}
+	n.running.Add(1)
+	if !mine {
+		a.log.SetPlace(record.Place)
+		go (&resumeRun{node: n, place: record.Place, answer: a}).run(ctx)
+		return
+	}
+	chat.Request = record.Request
+	go (&chatRun{node: n, caller: r.caller, chat: chat, answer: a}).run(ctx)
+}
+
 // deliver writes an answer from an offset to one caller.
 func (n *Node) deliver(w http.ResponseWriter, r *request, a *answer, after nutmegroute.Offset, stream bool) error {
 	out := n.newAnswerWriter(w, stream, after)
@@ -94,10 +127,9 @@
 
 // run reserves, sends, settles and bills. The answer ends only after that, so
 // that a whole answer is always a billed one.
-func (c *chatRun) run(ctx context.Context, cancelDeadline context.CancelFunc) {
+func (c *chatRun) run(ctx context.Context) {
 	defer c.node.running.Done()
-	defer cancelDeadline()
-	c.chat.OnPlace = c.answer.log.SetPlace
+	c.chat.OnPlace = c.started
 	c.chat.Again = c.reserve
 	err := c.reserve(ctx)
 	if err == nil {
@@ -105,10 +137,19 @@
 		use, err = c.node.sender.Chat(ctx, c.chat, c.answer.log.Append)
 		c.settle(use, err)
 	}
+	if err != nil && !errors.Is(context.Cause(ctx), errAbandoned) {
+		c.node.noteChat(c.answer, nutmegroute.Place{})
+	}
 	c.answer.log.Finish(err)
 	c.node.answers.finish(c.answer, err == nil)
 }
 
+// started notes the stream that the answer comes from.
+func (c *chatRun) started(place nutmegroute.Place) {
+	c.answer.log.SetPlace(place)
+	c.node.noteChat(c.answer, place)
+}
+
 // reserve takes the bound of one attempt from both budgets.
 func (c *chatRun) reserve(ctx context.Context) error {
 	reservation, err := c.node.holder.Acquire(ctx, c.caller.WorkspaceBudget, c.caller.OwnerBudget, c.chat.Bound)
--- a/nutmegnode/defaults.go
+++ b/nutmegnode/defaults.go
@@ -9,7 +9,6 @@
 	adoptInterval            = time.Second     // between looks for writers that are gone
 	certificateCheckInterval = time.Second
 	storeConnections         = 16              // idle connections kept to the platform
-	outcomeTimeout           = 5 * time.Second // of recording a protected call's outcome
 	defaultMaxTokens         = 1024            // tokens of an answer whose request states no bound
 	maxAnswerTokens          = 1 << 20         // tokens that a request may ask for
 	requestOverhead          = 16              // tokens reserved for what an engine adds to a prompt
@@ -41,3 +40,20 @@
 	orderBytes         = 1 << 30         // of a load whose size is not known
 	probeIdleLimit     = 5 * time.Second // of connections to upstreams that are kept for probes
 )
+
+// Bounds of the life of one request.
+const (
+	orderWait         = 2 * time.Second // of a repeated order for the outcome of the running one
+	maxKeyBytes       = 255             // of an idempotency key
+	maxKeptCallBytes  = 16 << 20        // of answers kept for repeats
+	maxListedSuspects = 1024
+	chatKeyWrites     = 3  // of the store for one chat with a key
+	chatKeyRate       = 12 // writes a second of this instance for keys of chats
+	chatKeyBurst      = 60 // writes
+	chatKeyTimeout    = 2 * time.Second
+	chatKeyPoll       = 100 * time.Millisecond
+	claimantUnknown   = 10 * time.Second // after which a claimant that no peer knows counts as gone
+	sweepInterval     = 2 * time.Second  // of the whole fleet
+	sweepShards       = 256
+	recordsKept       = time.Hour // of moved streams and chat keys
+)
--- a/nutmegnode/lifecycle.go
+++ b/nutmegnode/lifecycle.go
@@ -82,6 +82,7 @@
 	}
 	n.holder.Start()
 	n.ledger.Start()
+	n.desk.Start()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.watchStop = cancel
 	n.completer.Start()
@@ -89,6 +90,8 @@
 	go n.sharer.run(ctx)
 	go n.watchLoop(ctx)
 	go n.copies.loop(ctx)
+	go n.suspectsLoop(ctx)
+	go n.sweepLoop(ctx)
 	n.router.start()
 	n.callers = n.serve("callers", callers, n.callerHandler())
 	n.operators = n.serve("operators", operators, n.operatorHandler())
@@ -165,7 +168,7 @@
 	// What must last is written even when the requests took all the time.
 	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(n.cfg.Settings.Limits.FinishTimeout))
 	defer cancel()
-	failed = errors.Join(failed, n.drain(ctx, finish), n.holder.Stop(finish), n.ledger.Stop(finish))
+	failed = errors.Join(failed, n.drain(ctx, finish), n.desk.Stop(finish), n.holder.Stop(finish), n.ledger.Stop(finish))
 	n.stopFollowing()
 	n.router.stop()
 	n.peers.Stop()
@@ -191,5 +194,6 @@
 	n.answers.cancelAll(errAbandoned)
 	n.holder.Abandon()
 	n.ledger.Abandon()
+	n.desk.Abandon()
 	n.peers.Stop()
 }
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -24,6 +24,7 @@
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
@@ -71,9 +72,13 @@
 	router      *router
 	peers       *nutmegpeer.Peers
 	signer      *nutmegroute.Signer
+	suspects    *nutmegroute.Suspects
 	streams     streamOwners
 	answers     *answers
+	calls       *sharedCalls
 	keepUnread  time.Duration
+	chatKeyRate *rate.Limiter
+	sweepNext   atomic.Uint32
 
 	callers   *server
 	operators *server
@@ -136,13 +141,15 @@
 		OnState:         n.storeState,
 	})
 	n.writer = nutmegstore.NewWriter(n.client, n.incarnation)
-	n.desk = nutmegorder.NewDesk(n.writer, n.incarnation)
+	n.desk = nutmegorder.NewDesk(nutmegorder.Config{Store: n.writer, Incarnation: n.incarnation})
 }
 
 func (n *Node) buildAnswers() {
 	n.signer = nutmegroute.NewSigner([]byte(n.cfg.Settings.Peers.Key))
 	n.streams = streamOwners{store: n.writer, incarnation: n.incarnation}
 	n.answers = newAnswers()
+	n.calls = newSharedCalls()
+	n.chatKeyRate = rate.NewLimiter(chatKeyRate, chatKeyBurst)
 	n.keepUnread = time.Duration(n.cfg.Settings.Limits.KeepUnread)
 }
 
--- a/nutmegnode/operators.go
+++ b/nutmegnode/operators.go
@@ -27,6 +27,7 @@
 		r.Get("/v1/status", n.operator(nutmegconf.RoleReader, n.status))
 		r.Get("/v1/bill", n.operator(nutmegconf.RoleReader, n.bill))
 		r.Get("/v1/audit", n.operator(nutmegconf.RoleReader, n.audit))
+		n.suspectRoutes(r)
 		r.Get("/v1/events", n.operator(nutmegconf.RoleReader, n.events))
 		r.Get("/v1/history", n.operator(nutmegconf.RoleReader, n.history))
 		r.Post("/v1/plans", n.operator(nutmegconf.RoleOperator, n.plan))
--- a/nutmegnode/resume.go
+++ b/nutmegnode/resume.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegledger"
@@ -40,7 +41,10 @@
 // reserved: the tokens were debited where the request was accepted.
 func (n *Node) takeOver(place nutmegroute.Place, after nutmegroute.Offset) *answer {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	a := &answer{request: place.Request, log: nutmegroute.NewAnswerLog(after, maxHeldBytes), cancel: cancel}
+	a := &answer{
+		request: place.Request, log: nutmegroute.NewAnswerLog(after, maxHeldBytes),
+		cancel: cancel, release: func() {},
+	}
 	a.onUnread = func() { n.abandon(a) }
 	a.log.SetPlace(place)
 	if known, ok := n.answers.join(a); ok {
@@ -81,8 +85,9 @@
 // streamRecord is the body of a stream object. There is none while the instance
 // that accepted the request reads its stream.
 type streamRecord struct {
-	Reader nutmegid.Incarnation `json:"reader"`
-	Closed bool                 `json:"closed"`
+	Reader    nutmegid.Incarnation `json:"reader"`
+	Closed    bool                 `json:"closed"`
+	CreatedAt time.Time            `json:"created_at"`
 }
 
 // streamOwners decides which instance may cancel a stream: the one that read it
@@ -100,6 +105,7 @@
 func (s streamOwners) take(ctx context.Context, request nutmegid.RequestID) error {
 	_, err := nutmegstore.Update(ctx, s.store, streamObject(request), func(r *streamRecord) error {
 		r.Reader = s.incarnation
+		r.CreatedAt = time.Now()
 		return nil
 	})
 	return err
@@ -114,6 +120,7 @@
 			return nutmegstore.ErrUnchanged
 		}
 		r.Closed = true
+		r.CreatedAt = time.Now()
 		return nil
 	})
 	return err == nil && allowed
--- a/nutmegnode/routing.go
+++ b/nutmegnode/routing.go
@@ -14,8 +14,10 @@
 		Instance: n.cfg.Settings.Instance.Name,
 		OnLeave:  n.upstreamLeaves,
 	})
+	n.buildSuspects()
 	n.sender = nutmegroute.NewSender(nutmegroute.SenderConfig{
 		Pool: n.pool, Dial: n.cfg.Dial, IdleTimeout: time.Duration(n.cfg.Settings.Limits.UpstreamIdle),
+		Suspects: n.suspects,
 	})
 	n.router = newRouter(n)
 	n.orderEngine = n.router.order
--- a/nutmegnode/services.go
+++ b/nutmegnode/services.go
@@ -6,17 +6,16 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/go-chi/chi/v5"
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
-	"github.com/nutmegwind/nutmegwind/nutmegorder"
 	"github.com/nutmegwind/nutmegwind/nutmegroute"
-	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
-// service routes one call to a plain service.
+// service routes one call to a plain service by its route's repeat rule.
 func (n *Node) service(w http.ResponseWriter, r *request) error {
 	route := nutmegid.Route(chi.URLParam(r.Request, "route"))
 	rule, ok := r.config.Routes[route]
@@ -26,48 +25,28 @@
 	call := nutmegroute.Call{
 		Request: r.id, Workspace: r.caller.Workspace,
 		Route:  route,
-		Key:    nutmegid.OrderKey(r.Header.Get("Idempotency-Key")),
+		Key:    nutmegid.OrderKey(r.Header.Get(keyHeader)),
 		Method: r.Method,
 		Path:   servicePath(r.URL),
 		Query:  r.URL.Query(),
 		Header: r.Header,
 		Body:   r.body,
 		Repeat: repeatOf(rule.Rule),
+
+		Priority: priorityLevel(rule.Priority),
 	}
 	if rule.Rule == nutmegconf.RuleProtected {
 		return n.protected(w, r, call)
 	}
-	answer, err := n.sender.Call(r.Context(), call)
-	if err != nil {
-		return err
-	}
-	writeAnswer(w, answer.Status, answer.Header.Get("Content-Type"), answer.Body)
-	return nil
-}
-
-// protected runs a call at most once under its key: claim, send, outcome.
-func (n *Node) protected(w http.ResponseWriter, r *request, call nutmegroute.Call) error {
-	if call.Key == "" {
-		return refusal(http.StatusBadRequest, "no_order_key", "the route is protected; send an Idempotency-Key")
-	}
-	claim, err := n.desk.Claim(r.Context(), nutmegorder.Call{
-		Workspace: r.caller.Workspace, Route: call.Route, Key: call.Key, Body: r.body, Request: r.id,
-	})
+	ctx, cancel, err := withDeadline(r.Context(), r.Header, time.Now())
 	if err != nil {
 		return err
 	}
-	if !claim.Mine {
-		return repeatOutcome(w, call.Key, claim.Record.Outcome)
-	}
-	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindClaim, Request: r.id, Detail: string(call.Key)})
-	answer, err := n.sender.Call(context.WithoutCancel(r.Context()), call)
-	outcome := outcomeOf(answer, err)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(r.Context()), outcomeTimeout)
 	defer cancel()
-	if failed := n.desk.Finish(ctx, claim, outcome); failed != nil {
-		n.count("order_outcomes_unrecorded")
+	if call.Key != "" {
+		return n.keyedCall(ctx, w, call)
 	}
-	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindOutcome, Request: r.id, Upstream: answer.Upstream, Detail: string(outcome.State)})
+	answer, err := n.sender.Call(ctx, call)
 	if err != nil {
 		return err
 	}
@@ -75,38 +54,54 @@
 	return nil
 }
 
-func outcomeOf(answer nutmegroute.Answer, err error) nutmegorder.Outcome {
-	if err == nil {
-		return nutmegorder.Outcome{State: nutmegorder.StateDone, Status: answer.Status, Answer: answer.Body}
+// keyedCall joins calls with the same key at this instance, and repeats the
+// answer of one that has ended.
+func (n *Node) keyedCall(ctx context.Context, w http.ResponseWriter, call nutmegroute.Call) error {
+	key := answerKey{workspace: call.Workspace, target: string(call.Route), key: call.Key}
+	c, mine, err := n.calls.begin(key, nutmegconf.HashKey(string(callIdentity(call))))
+	if err != nil {
+		return err
 	}
-	if nutmegroute.RanOf(err) == nutmegroute.RanNo {
-		return nutmegorder.Outcome{State: nutmegorder.StateNotRun}
+	if mine {
+		n.running.Add(1)
+		go (&callRun{node: n, call: call, key: key, shared: c}).run(context.WithoutCancel(ctx), ctx)
+	} else {
+		w.Header().Set(replayedHeader, "true")
 	}
-	return nutmegorder.Outcome{State: nutmegorder.StateUnknown}
-}
-
-// repeatOutcome answers a repeated call without sending it.
-func repeatOutcome(w http.ResponseWriter, key nutmegid.OrderKey, outcome nutmegorder.Outcome) error {
-	switch outcome.State {
-	case nutmegorder.StateDone:
-		w.Header().Set("Idempotent-Replayed", "true")
-		writeAnswer(w, outcome.Status, "application/json", outcome.Answer)
-		return nil
-	case nutmegorder.StateNotRun:
-		return refusal(http.StatusConflict, "order_not_run", fmt.Sprintf("order %q was not run; send it under a new key", key))
+	select {
+	case <-c.ended:
+	case <-ctx.Done():
+		return &APIError{
+			Status: http.StatusGatewayTimeout, Kind: "deadline_passed", Run: nutmegroute.RanUnknown,
+			Message: "the deadline has passed while the call runs; send it again under the same key",
+		}
 	}
-	return &APIError{
-		Status: http.StatusConflict, Kind: "order_" + string(outcome.State), Run: nutmegroute.RanUnknown,
-		Message: fmt.Sprintf("order %q was sent and its outcome is not known; ask the order desk before ordering again", key),
+	if c.err != nil {
+		return c.err
 	}
+	writeAnswer(w, c.answer.Status, c.answer.Header.Get("Content-Type"), c.answer.Body)
+	return nil
 }
 
-func writeAnswer(w http.ResponseWriter, status int, contentType string, body []byte) {
-	if contentType != "" {
-		w.Header().Set("Content-Type", contentType)
-	}
-	w.WriteHeader(status)
-	_, _ = w.Write(body)
+// callRun sends one keyed call for all callers that have joined it.
+type callRun struct {
+	node   *Node
+	call   nutmegroute.Call
+	key    answerKey
+	shared *sharedCall
+}
+
+// run sends within the deadline of the first caller, also when that caller leaves.
+func (c *callRun) run(ctx, caller context.Context) {
+	defer c.node.running.Done()
+	if deadline, ok := caller.Deadline(); ok {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithDeadline(ctx, deadline)
+		defer cancel()
+	}
+	answer, err := c.node.sender.Call(ctx, c.call)
+	keep := err == nil || (c.call.Repeat != nutmegroute.RepeatYes && nutmegroute.RanOf(err) != nutmegroute.RanNo)
+	c.node.calls.finish(c.key, c.shared, answer, err, keep)
 }
 
 // servicePath is the part of a caller's path that the service sees, escaped as
@@ -126,3 +121,11 @@
 	}
 	return nutmegroute.RepeatNotRun
 }
+
+func writeAnswer(w http.ResponseWriter, status int, contentType string, body []byte) {
+	if contentType != "" {
+		w.Header().Set("Content-Type", contentType)
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
--- /dev/null
+++ b/nutmegnode/suspects.go
@@ -0,0 +1,93 @@
+package nutmegnode
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegroute"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
+)
+
+// suspectsKey names the object that holds the fleet's suspect requests.
+var suspectsKey = nutmegstore.Key{Kind: "suspects", Name: "list"}
+
+// suspectStore keeps the fleet's suspects in the platform's object API.
+type suspectStore struct {
+	writer *nutmegstore.Writer
+}
+
+// Update implements nutmegroute.SuspectStore.
+func (s suspectStore) Update(ctx context.Context, change func(*nutmegroute.SuspectList) error) (nutmegroute.SuspectList, error) {
+	doc, err := nutmegstore.Update(ctx, s.writer, suspectsKey, change)
+	return doc.Body, err
+}
+
+func (n *Node) buildSuspects() {
+	n.suspects = nutmegroute.NewSuspects(nutmegroute.SuspectsConfig{
+		Store:       suspectStore{writer: n.writer},
+		Incarnation: n.incarnation,
+		OnVerdict:   n.verdictChanged,
+	})
+}
+
+// verdictChanged reports what the fleet now holds of a request.
+func (n *Node) verdictChanged(s nutmegroute.Suspect) {
+	n.count("requests_" + string(s.Verdict))
+	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindQuarantine, Detail: fmt.Sprintf("%s %s of %s", s.Verdict, s.Fingerprint, s.Workspace)})
+	n.log.WithField("verdict", s.Verdict).WithField("fingerprint", s.Fingerprint).WithField("workspace", s.Workspace).Warn("suspect request")
+}
+
+// suspectsLoop follows the fleet's suspects, so that every instance knows them
+// before the caller sends the request again.
+func (n *Node) suspectsLoop(ctx context.Context) {
+	n.client.Follow(ctx, suspectsKey.Kind, suspectsKey.Name, n.suspectsChanged)
+}
+
+func (n *Node) suspectsChanged(o nutmegstore.Object) {
+	if o.Deleted {
+		return
+	}
+	doc, err := nutmegstore.Decode[nutmegroute.SuspectList](o)
+	if err != nil {
+		n.log.WithError(err).Error("suspects are unreadable; the known ones stay")
+		return
+	}
+	n.suspects.Merge(slices.Collect(maps.Values(doc.Body.Entries)))
+}
+
+// Suspects is the operators' view of requests that crash upstreams.
+type Suspects struct {
+	Suspects []nutmegroute.Suspect `json:"suspects"`
+}
+
+func (n *Node) listSuspects(w http.ResponseWriter, _ *http.Request, _ actor) error {
+	writeJSON(w, http.StatusOK, Suspects{Suspects: n.suspects.Export(maxListedSuspects)})
+	return nil
+}
+
+// clearSuspect lets a request run again.
+func (n *Node) clearSuspect(w http.ResponseWriter, r *http.Request, a actor) error {
+	f := nutmegroute.Fingerprint(chi.URLParam(r, "fingerprint"))
+	if n.suspects.Check(f) == nutmegroute.VerdictClear {
+		return refusal(http.StatusNotFound, "no_suspect", fmt.Sprintf("request %q is no suspect; list them with GET /v1/suspects", f))
+	}
+	if err := n.suspects.Clear(r.Context(), f); err != nil {
+		return err
+	}
+	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindQuarantine, Detail: fmt.Sprintf("%s cleared by %s", f, a.name)})
+	writeJSON(w, http.StatusOK, n.suspects.Get(f))
+	return nil
+}
+
+// suspectRoutes adds the operators' calls on suspects.
+func (n *Node) suspectRoutes(r chi.Router) {
+	r.Get("/v1/suspects", n.operator(nutmegconf.RoleReader, n.listSuspects))
+	r.Delete("/v1/suspects/{fingerprint}", n.operator(nutmegconf.RoleOperator, n.clearSuspect))
+}
--- a/nutmegorder/order.go
+++ b/nutmegorder/order.go
@@ -4,18 +4,21 @@
 //
 // # Usage
 //
-//	desk := nutmegorder.NewDesk(writer, inc)
+//	desk := nutmegorder.NewDesk(nutmegorder.Config{Store: writer, Incarnation: inc})
+//	desk.Start()
 //	claim, err := desk.Claim(ctx, nutmegorder.Call{Workspace: "rack", Route: "orders", Key: key, Body: body})
 //	if claim.Mine {
 //		// send the call once
 //		err = desk.Finish(ctx, claim, nutmegorder.Outcome{State: nutmegorder.StateDone, Status: 200})
 //	}
+//	desk.Stop(ctx) // records the outcomes that the store has not taken yet
 //
-// An error of Claim means that the call must not be sent.
+// An error of Claim means that the call must not be sent, and was not. A call
+// that provably did not run may be claimed again under its key by anyone: the
+// compare and set on its record admits one. No clock takes a claim away.
 package nutmegorder
 
 import (
-	"context"
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
@@ -33,13 +36,15 @@
 
 // The states of a protected call.
 const (
+	// StateUnclaimed says that no claim of the call is known.
+	StateUnclaimed State = "unclaimed"
 	// StateClaimed says that the call may be running; after its claimant's end it is unknown for good.
 	StateClaimed State = "claimed"
 	// StateDone says that the upstream answered.
 	StateDone State = "done"
-	// StateNotRun says that the call never reached the upstream.
+	// StateNotRun says that the call did not run. It may be claimed again.
 	StateNotRun State = "not_run"
-	// StateUnknown says that the call was sent and its answer lost.
+	// StateUnknown says that the call was sent and its effect is not known.
 	StateUnknown State = "unknown"
 )
 
@@ -49,14 +54,26 @@
 	Route     nutmegid.Route
 	Key       nutmegid.OrderKey
 	Body      []byte
-	Request   nutmegid.RequestID
+	Request   nutmegid.RequestID // of this sending; no two have the same
 }
 
 // Outcome is what became of a call. Status and Answer are the upstream's.
 type Outcome struct {
-	State  State  `json:"state"`
-	Status int    `json:"status,omitempty"`
-	Answer []byte `json:"answer,omitempty"`
+	State       State             `json:"state"`
+	Upstream    nutmegid.Upstream `json:"upstream,omitempty"`
+	Status      int               `json:"status,omitempty"`
+	ContentType string            `json:"content_type,omitempty"`
+	Answer      []byte            `json:"answer,omitempty"`
+	TooLarge    bool              `json:"too_large,omitempty"` // the answer was not kept
+}
+
+// stored is the outcome as the store can hold it.
+func (o Outcome) stored() Outcome {
+	if len(o.Answer) > maxStoredAnswer {
+		o.Answer = nil
+		o.TooLarge = true
+	}
+	return o
 }
 
 // Record is the body of a claim object.
@@ -64,6 +81,7 @@
 	Claimant nutmegid.Incarnation `json:"claimant"`
 	Request  nutmegid.RequestID   `json:"request"`
 	BodyHash string               `json:"body_hash"`
+	Attempts int                  `json:"attempts"` // claims so far; all but the last did not run
 	Outcome  Outcome              `json:"outcome"`
 }
 
@@ -84,59 +102,25 @@
 	return fmt.Sprintf("idempotency key %q was used with another body; use a new key for another order", e.Key)
 }
 
-// Desk claims calls for one incarnation.
-type Desk struct {
-	store       *nutmegstore.Writer
-	incarnation nutmegid.Incarnation
+// ClaimError is a call that was not sent, since the store did not take or show
+// its claim. Claimed says that an earlier sending had the key; it may have run.
+type ClaimError struct {
+	Key     nutmegid.OrderKey
+	Claimed bool
+	Err     error
 }
 
-// NewDesk returns a desk that claims for the incarnation.
-func NewDesk(store *nutmegstore.Writer, incarnation nutmegid.Incarnation) *Desk {
-	return &Desk{store: store, incarnation: incarnation}
-}
-
-// Claim claims the call, or returns the claim that another sender made first.
-func (d *Desk) Claim(ctx context.Context, call Call) (Claim, error) {
-	key := claimKey(call)
-	record := Record{
-		Claimant: d.incarnation,
-		Request:  call.Request,
-		BodyHash: hash(string(call.Body)),
-		Outcome:  Outcome{State: StateClaimed},
-	}
-	err := nutmegstore.Create(ctx, d.store, key, record)
-	if err == nil {
-		return Claim{Mine: true, Record: record, key: key}, nil
-	}
-	if !nutmegstore.IsKind(err, nutmegstore.KindConflict) {
-		return Claim{}, err
-	}
-	doc, err := nutmegstore.Read[Record](ctx, d.store, key)
-	if err != nil {
-		return Claim{}, err
-	}
-	if doc.Body.BodyHash != record.BodyHash {
-		return Claim{}, &BodyMismatchError{Key: call.Key}
+// Error names the key and the remedy.
+func (e *ClaimError) Error() string {
+	if e.Claimed {
+		return fmt.Sprintf("order %q was sent before and its state cannot be read; ask for its state later: %v", e.Key, e.Err)
 	}
-	return Claim{Record: doc.Body, key: key}, nil
-}
-
-// Finish records the outcome of a call that this desk claimed.
-func (d *Desk) Finish(ctx context.Context, claim Claim, outcome Outcome) error {
-	_, err := nutmegstore.Update(ctx, d.store, claim.key, func(r *Record) error {
-		if r.Claimant != d.incarnation {
-			return fmt.Errorf("order %q is claimed by %s; only its claimant records the outcome", claim.key.Name, r.Claimant)
-		}
-		r.Outcome = outcome
-		return nil
-	})
-	return err
+	return fmt.Sprintf("order %q was not sent now; send it again under the same key: %v", e.Key, e.Err)
 }
 
-// Lookup reads the state of a call.
-func (d *Desk) Lookup(ctx context.Context, call Call) (Record, error) {
-	doc, err := nutmegstore.Read[Record](ctx, d.store, claimKey(call))
-	return doc.Body, err
+// Unwrap returns the cause.
+func (e *ClaimError) Unwrap() error {
+	return e.Err
 }
 
 func claimKey(call Call) nutmegstore.Key {
--- a/nutmegroute/call.go
+++ b/nutmegroute/call.go
@@ -85,9 +85,7 @@
 			break
 		}
 		answer, err = r.attempt(ctx)
-		if err != nil {
-			r.ran = r.ran.worse(RanOf(err))
-		}
+		r.ran = r.ran.worse(ranOfCall(answer, err))
 		if !r.mayRepeat(ctx, answer, err) {
 			break
 		}
@@ -95,6 +93,17 @@
 	return answer, withRan(err, r.ran)
 }
 
+// ranOfCall is what one attempt says about running.
+func ranOfCall(answer Answer, err error) Ran {
+	if err != nil {
+		return RanOf(err)
+	}
+	if answer.Uncertain() {
+		return RanUnknown
+	}
+	return RanYes
+}
+
 func (r *callRun) mayRepeat(ctx context.Context, answer Answer, err error) bool {
 	if ctx.Err() != nil || IsKind(err, KindNoUpstream) {
 		return false
@@ -180,8 +189,8 @@
 
 // run sends the call to one upstream and, after a failure, goes on with others.
 func (r *callRun) run(ctx context.Context, c *Pick, results chan<- callResult) {
-	own := &callRun{sender: r.sender, call: r.call, avoid: []nutmegid.Upstream{c.Upstream}, ran: RanNo}
 	answer, err := r.sender.sendCall(ctx, c, r.call)
+	own := &callRun{sender: r.sender, call: r.call, avoid: []nutmegid.Upstream{c.Upstream}, ran: ranOfCall(answer, err)}
 	if own.mayRepeat(ctx, answer, err) && r.sender.retries.Take(routeName(r.call.Route)) {
 		answer, err = own.attempts(ctx)
 	}
--- a/nutmegroute/chat.go
+++ b/nutmegroute/chat.go
@@ -60,7 +60,8 @@
 	fingerprint Fingerprint
 	avoid       []nutmegid.Upstream
 	passed      bool // an event has reached the sink
-	ran         Ran  // over all attempts
+	proved      func()
+	ran         Ran // over all attempts
 	use         Use
 }
 
@@ -71,7 +72,10 @@
 func (s *Sender) Chat(ctx context.Context, chat Chat, sink func(Event) error) (Use, error) {
 	r := &chatRun{sender: s, chat: chat, fingerprint: chat.Fingerprint(), use: Use{Exact: true}, ran: RanNo}
 	r.sink = func(e Event) error {
-		r.passed = true
+		if !r.passed {
+			r.passed = true
+			r.proved()
+		}
 		return sink(e)
 	}
 	s.retries.Deposit(modelName(chat.Model))
@@ -116,6 +120,8 @@
 // attempt sends the chat once. A request that has crashed an upstream is sent
 // once more at most, under the rules of Suspects.
 func (r *chatRun) attempt(ctx context.Context) error {
+	r.proved = r.sender.twins.enter(ctx, r.fingerprint)
+	defer r.proved()
 	suspects := r.sender.cfg.Suspects
 	switch suspects.Check(r.fingerprint) {
 	case VerdictQuarantined:
--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -43,6 +43,7 @@
 	trialTimeout        = 2 * time.Minute
 	trialPollInterval   = 50 * time.Millisecond
 	suspectStoreTimeout = 2 * time.Second
+	maxTwinWait         = 2 * time.Second // for the first event of a request with the same content
 )
 
 // PrefixBlockBytes is the length of a block of a prompt that engines cache as a whole.
--- /dev/null
+++ b/nutmegroute/place_test.go
@@ -0,0 +1,79 @@
+package nutmegroute
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+var testPlace = Place{
+	Request: "r-1", Workspace: "rack", Owner: "kaca", Model: "drafter",
+	Upstream: "engine-1", Stream: "s-1", Bound: 120, MaxAnswer: 100,
+}
+
+func mustWriter(t testing.TB, s *Signer) *IDWriter {
+	t.Helper()
+	w, err := s.Writer(testPlace)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w
+}
+
+func TestEventIDNamesItsPlace(t *testing.T) {
+	s := NewSigner([]byte("fleet key"))
+	place, offset, err := s.Open(mustWriter(t, s).ID(42), "rack")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(testPlace, place); diff != "" || offset != 42 {
+		t.Errorf("offset %d, place (-want +got):\n%s", offset, diff)
+	}
+}
+
+func TestEventIDOfAnotherFleetOrWorkspace(t *testing.T) {
+	s := NewSigner([]byte("fleet key"))
+	id := mustWriter(t, s).ID(1)
+	_, _, err := NewSigner([]byte("another key")).Open(id, "rack")
+	var place *PlaceError
+	if !errors.As(err, &place) || place.Kind != PlaceForged {
+		t.Errorf("id of another fleet: %v; want %s", err, PlaceForged)
+	}
+	_, _, err = s.Open(id, "other")
+	if !errors.As(err, &place) || place.Kind != PlaceForeign {
+		t.Errorf("id of another workspace: %v; want %s", err, PlaceForeign)
+	}
+}
+
+// FuzzEventID checks that only ids of the fleet open, and only unchanged.
+func FuzzEventID(f *testing.F) {
+	s := NewSigner([]byte("fleet key"))
+	id := mustWriter(f, s).ID(7)
+	for _, seed := range []string{id, "", ".", "..", "a.1.b", id + "x", strings.ToUpper(id), id[:40]} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, given string) {
+		place, offset, err := s.Open(given, "rack")
+		if err != nil {
+			return
+		}
+		w, err := s.Writer(place)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(w.ID(offset), given); diff != "" {
+			t.Errorf("an id that the fleet did not write opened (-written +given):\n%s", diff)
+		}
+	})
+}
+
+func BenchmarkEventID(b *testing.B) {
+	w := mustWriter(b, NewSigner([]byte("fleet key")))
+	b.ReportAllocs()
+	var id []byte
+	for i := range b.N {
+		id = w.AppendID(id[:0], Offset(i))
+	}
+}
--- a/nutmegroute/sender.go
+++ b/nutmegroute/sender.go
@@ -30,6 +30,7 @@
 	streams *http.Client // for engines and repeatable calls; keeps connections
 	once    *http.Client // for calls that must not be sent twice; a connection each
 	retries *RetryBudget
+	twins   *twins
 
 	abandoned atomic.Bool
 }
@@ -47,6 +48,7 @@
 		}),
 		once:    newClient(&http.Transport{DisableKeepAlives: true, DialContext: cfg.Dial}),
 		retries: NewRetryBudget(),
+		twins:   newTwins(),
 	}
 }
 
--- a/nutmegroute/suspects.go
+++ b/nutmegroute/suspects.go
@@ -176,6 +176,11 @@
 	return entry
 }
 
+// Get returns what is known of a request.
+func (s *Suspects) Get(f Fingerprint) Suspect {
+	return s.entry(f)
+}
+
 func (s *Suspects) entry(f Fingerprint) Suspect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -232,11 +237,12 @@
 		l.set(entry)
 		return nil
 	})
-	s.mergeAll(list.Entries)
 	if err != nil {
 		picker.Release(trialError(err))
+		return err
 	}
-	return err
+	s.mergeAll(list.Entries)
+	return nil
 }
 
 // busy reports whether a second try runs at the upstream. One whose claimant
--- /dev/null
+++ b/nutmegtrace/orders_test.go
@@ -0,0 +1,254 @@
+package nutmegtrace
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegroute"
+	"github.com/nutmegwind/nutmegwind/nutmegstand"
+)
+
+const paneBody = `{"pane":"600x900x6"}`
+
+// order sends the pane order and returns what its caller saw.
+func order(t *testing.T, f *Fleet, node int, key string) Result {
+	t.Helper()
+	result, err := f.Order(testContext(t), node, "rack", key, paneBody)
+	if err != nil {
+		return Result{}
+	}
+	result.Request = ""
+	return result
+}
+
+// state asks the second instance for the state of an order.
+func state(t *testing.T, f *Fleet, key string) (string, nutmegroute.Ran) {
+	t.Helper()
+	c := &caller{fleet: f, workspace: "rack"}
+	resp, err := c.open(testContext(t), 1, http.MethodGet, "/v1/orders/"+string(DefaultRoute)+"/"+key, nil, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var answer struct {
+		State string          `json:"state"`
+		Run   nutmegroute.Ran `json:"run"`
+	}
+	if err := json.NewDecoder(resp.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return answer.State, answer.Run
+}
+
+func checkState(t *testing.T, f *Fleet, key, want string, wantRan nutmegroute.Ran) {
+	t.Helper()
+	got, ran := state(t, f, key)
+	if got != want || ran != wantRan {
+		t.Errorf("order %q is %s, run %s; want %s, run %s", key, got, ran, want, wantRan)
+	}
+}
+
+// orderRuns counts how often the services ran each order.
+func (f *Fleet) orderRuns() map[string]int64 {
+	runs := make(map[string]int64)
+	for _, s := range f.Services {
+		for _, call := range s.Calls() {
+			if call.Key != "" {
+				runs[call.Key]++
+			}
+		}
+	}
+	return runs
+}
+
+func (f *Fleet) waitOrders(t *testing.T, n int) {
+	t.Helper()
+	for range 500 {
+		if len(f.Services[0].Calls()) >= n {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatalf("service ran %d calls; want %d", len(f.Services[0].Calls()), n)
+}
+
+func TestOrdersOfManyCallersWaitForOneRun(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 2, Services: 1})
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{Delay: 200 * time.Millisecond})
+	results := make([]Result, 6)
+	var wait sync.WaitGroup
+	for i := range results {
+		wait.Go(func() { results[i] = order(t, f, i%2, "pane-1") })
+	}
+	wait.Wait()
+	for _, result := range results {
+		if diff := cmp.Diff(results[0], result); diff != "" || !result.Whole {
+			t.Errorf("answers differ (-first +other):\n%s", diff)
+		}
+	}
+	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+	checkState(t, f, "pane-1", "done", "yes")
+	checkState(t, f, "pane-2", "unclaimed", "unknown")
+}
+
+func TestOrderOfADeadClaimantStaysUnknown(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 2, Services: 1})
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{Delay: time.Second})
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		order(t, f, 0, "pane-1")
+	}()
+	f.waitOrders(t, 1)
+	f.kill(0)
+	<-ended
+	got := order(t, f, 1, "pane-1")
+	if diff := cmp.Diff(Result{Status: 409, Kind: "order_claimed", Run: "unknown"}, got); diff != "" {
+		t.Errorf("repeated order (-want +got):\n%s", diff)
+	}
+	checkState(t, f, "pane-1", "claimed", "unknown")
+	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+func TestOrderWhoseAnswerIsLostStaysUnknown(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 2, Services: 1})
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{LoseAnswer: true})
+	first := order(t, f, 0, "pane-1")
+	if first.Run != nutmegroute.RanUnknown {
+		t.Errorf("first order says run %q; want unknown", first.Run)
+	}
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{})
+	got := order(t, f, 1, "pane-1")
+	if diff := cmp.Diff(Result{Status: 409, Kind: "order_unknown", Run: "unknown"}, got); diff != "" {
+		t.Errorf("repeated order (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+func TestRefusedOrderMayBeSentAgain(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 2, Services: 1})
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{Refuse: true})
+	got := order(t, f, 0, "pane-1")
+	if diff := cmp.Diff(Result{Status: 503, Kind: "upstream_refused", Run: "no"}, got); diff != "" {
+		t.Errorf("refused order (-want +got):\n%s", diff)
+	}
+	checkState(t, f, "pane-1", "not_run", "no")
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{})
+	if again := order(t, f, 1, "pane-1"); !again.Whole {
+		t.Errorf("order sent again: %+v", again)
+	}
+	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+func TestOrderInAnOutageIsNotRun(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 1, Services: 1})
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{Outage: true})
+	got := order(t, f, 0, "pane-1")
+	if got.Run != nutmegroute.RanNo || got.Whole {
+		t.Errorf("order in an outage: %+v; want it refused as not run", got)
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+	if again := order(t, f, 0, "pane-1"); !again.Whole {
+		t.Errorf("order after the outage: %+v", again)
+	}
+	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+func TestOutcomeIsRecordedAfterAnOutage(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 2, Services: 1})
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{Delay: 300 * time.Millisecond})
+	done := make(chan Result)
+	go func() { done <- order(t, f, 0, "pane-1") }()
+	f.waitOrders(t, 1)
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{Outage: true})
+	first := <-done
+	if !first.Whole {
+		t.Errorf("order whose outcome the store did not take: %+v", first)
+	}
+	if diff := cmp.Diff(first, order(t, f, 0, "pane-1")); diff != "" {
+		t.Errorf("repeated order in the outage (-first +repeated):\n%s", diff)
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+	if diff := cmp.Diff(first, order(t, f, 1, "pane-1")); diff != "" {
+		t.Errorf("repeated order at another instance (-first +repeated):\n%s", diff)
+	}
+	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
+
+func TestOrdersWithLostAnswersOfTheStoreAndTheService(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 3, Services: 1, Platform: nutmegstand.PlatformConfig{Seed: 7}})
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{LostAnswers: 0.3, LostRequests: 0.2})
+	const orders = 20
+	notRun := make([]bool, orders)
+	var wait sync.WaitGroup
+	for i := range orders {
+		wait.Go(func() {
+			for try := range 3 {
+				got := order(t, f, (i+try)%3, fmt.Sprintf("pane-%d", i))
+				notRun[i] = got.Run == nutmegroute.RanNo
+			}
+		})
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{LoseAnswer: true})
+	time.Sleep(100 * time.Millisecond)
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{})
+	wait.Wait()
+	runs := f.orderRuns()
+	for i := range orders {
+		key := fmt.Sprintf("pane-%d", i)
+		if runs[key] > 1 {
+			t.Errorf("order %q ran %d times; want at most once", key, runs[key])
+		}
+		if notRun[i] && runs[key] > 0 {
+			t.Errorf("order %q was last refused as not run, and ran", key)
+		}
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+}
+
+func TestDeadlineOfAnOrder(t *testing.T) {
+	f := setUp(t, FleetConfig{Instances: 1, Services: 1})
+	f.Services[0].SetFaults(nutmegstand.ServiceFaults{Delay: 300 * time.Millisecond})
+	c := &caller{fleet: f, workspace: "rack"}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	header := http.Header{"Idempotency-Key": {"pane-1"}, "X-Deadline": {"100ms"}}
+	resp, err := c.open(ctx, 0, http.MethodPost, "/v1/services/"+string(DefaultRoute)+"/book", header, []byte(paneBody))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var result Result
+	if err := readRefusal(resp.Body, &result); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(Result{Kind: "order_claimed", Run: "unknown"}, result); diff != "" {
+		t.Errorf("answer at the deadline (-want +got):\n%s", diff)
+	}
+	if again := order(t, f, 0, "pane-1"); !again.Whole {
+		t.Errorf("order asked for again: %+v; want the first one's answer", again)
+	}
+	if diff := cmp.Diff(map[string]int64{"pane-1": 1}, f.orderRuns()); diff != "" {
+		t.Errorf("runs (-want +got):\n%s", diff)
+	}
+}
