Tell peers of suspects at once; settle nothing of a killed instance

Cause: with the store out, a request that crashed an upstream at one instance was sent anew at the next (one more upstream died at each). Verdicts now go out by gossip; with the store out the second sending at another instance is refused as not run, and one upstream has died (TestSuspectIsKnownToPeersInAnOutage).

The holder, ledger and orders now end first.

--- a/nutmegnode/lifecycle.go
+++ b/nutmegnode/lifecycle.go
@@ -77,6 +77,7 @@
 	}
 	n.buildPeers()
 	n.sharer.register()
+	n.registerSuspects()
 	if err := n.peers.Start(peers); err != nil {
 		return err
 	}
@@ -191,9 +192,9 @@
 	n.stopFollowing()
 	n.router.stop()
 	n.sender.Abandon()
-	n.answers.cancelAll(errAbandoned)
 	n.holder.Abandon()
 	n.ledger.Abandon()
 	n.desk.Abandon()
+	n.answers.cancelAll(errAbandoned)
 	n.peers.Stop()
 }
--- a/nutmegnode/suspects.go
+++ b/nutmegnode/suspects.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
@@ -10,6 +11,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 	"github.com/nutmegwind/nutmegwind/nutmegroute"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 	"github.com/nutmegwind/nutmegwind/nutmegtime"
@@ -37,8 +39,29 @@
 	})
 }
 
+// gossipSuspects is the kind of gossip on suspect requests.
+const gossipSuspects nutmegpeer.ItemKind = "suspects"
+
+// registerSuspects lets the peers' gossip carry suspects at once, so that they
+// are known without the store too.
+func (n *Node) registerSuspects() {
+	n.peers.Gossip().Register(gossipSuspects, nutmegpeer.ItemRule{
+		MaxItems: maxGossipItems, MaxBytes: maxGossipBytes, Urgent: true, OnItem: n.takeSuspect,
+	})
+}
+
+func (n *Node) takeSuspect(i nutmegpeer.Item) {
+	var s nutmegroute.Suspect
+	if json.Unmarshal(i.Value, &s) != nil || string(s.Fingerprint) != i.Key {
+		n.count("gossip_failures")
+		return
+	}
+	n.suspects.Merge([]nutmegroute.Suspect{s})
+}
+
 // verdictChanged reports what the fleet now holds of a request.
 func (n *Node) verdictChanged(s nutmegroute.Suspect) {
+	n.sharer.put(gossipSuspects, string(s.Fingerprint), s.Sequence, s)
 	n.count("requests_" + string(s.Verdict))
 	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindQuarantine, Detail: fmt.Sprintf("%s %s of %s", s.Verdict, s.Fingerprint, s.Workspace)})
 	n.log.WithField("verdict", s.Verdict).WithField("fingerprint", s.Fingerprint).WithField("workspace", s.Workspace).Warn("suspect request")
--- a/nutmegroute/defaults.go
+++ b/nutmegroute/defaults.go
@@ -40,6 +40,7 @@
 	maxRetryTokens = 50.0
 
 	maxSuspects         = 1024 // entries that instances remember and share
+	maxAccusedUpstreams = 4    // that an entry names
 	trialTimeout        = 2 * time.Minute
 	trialPollInterval   = 50 * time.Millisecond
 	suspectStoreTimeout = 2 * time.Second
--- a/nutmegroute/suspects.go
+++ b/nutmegroute/suspects.go
@@ -168,7 +168,7 @@
 	if entry.Verdict != VerdictQuarantined {
 		entry.Verdict = VerdictSuspect
 	}
-	if !slices.Contains(entry.Upstreams, a.Upstream) {
+	if !slices.Contains(entry.Upstreams, a.Upstream) && len(entry.Upstreams) < maxAccusedUpstreams {
 		entry.Upstreams = append(slices.Clone(entry.Upstreams), a.Upstream)
 	}
 	entry.Sequence++
--- a/nutmegtrace/suspects_test.go
+++ b/nutmegtrace/suspects_test.go
@@ -94,6 +94,41 @@
 	}
 }
 
+func TestSuspectIsKnownToPeersInAnOutage(t *testing.T) {
+	f := crashingFleet(t, FleetConfig{Instances: 2, Engines: 4})
+	ctx := testContext(t)
+	for node := range f.Nodes {
+		if _, err := f.Chat(ctx, node, Chat{Workspace: "rack", Prompt: "warm", MaxTokens: 5}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{Outage: true})
+	if _, err := f.Chat(ctx, 0, crashingChat); err != nil {
+		t.Fatal(err)
+	}
+	var list nutmegnode.Suspects
+	for range 300 {
+		if err := f.operate(ctx, 1, http.MethodGet, "/v1/suspects", nil, &list); err != nil {
+			t.Fatal(err)
+		}
+		if len(list.Suspects) > 0 {
+			break
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	result, err := f.Chat(ctx, 1, crashingChat)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if result.Kind != string(nutmegroute.KindSuspect) || result.Run != nutmegroute.RanNo {
+		t.Errorf("sending at the other instance: %+v; want %s, run no", result, nutmegroute.KindSuspect)
+	}
+	f.Platform.SetFaults(nutmegstand.PlatformFaults{})
+	if n := f.crashes(); n != 1 {
+		t.Errorf("%d upstreams crashed in the outage; want 1", n)
+	}
+}
+
 func TestInnocentRequestsAreNotQuarantined(t *testing.T) {
 	f := crashingFleet(t, FleetConfig{Instances: 2, Engines: 2, TokenTime: 5 * time.Millisecond})
 	chats := make([]Chat, 8)
