Share, witness and keep budgets between instances over drpc; hold the terms to targets

Change: transfers, slices of witnesses and batches for keepers over drpc, with authenticated answers; terms by owner in the settings; stranded tokens as a metric and in status. Searches keep their need registered, ask a giver's witness for what it lacks, and go round once more where peers hold enough.

--- a/Makefile
+++ b/Makefile
@@ -35,9 +35,10 @@
 test:
 	go test -race $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
-# The random runs of budgets in full number; with -race there are fewer.
+# The random runs of budgets in full number and the comparison with one global
+# counter; with -race there are fewer runs.
 runs:
-	go test -run Runs ./nutmegbudget
+	go test -run 'Runs|Comparison' ./nutmegbudget
 
 generate:
 	cd nutmegpeer && protoc --go_out=. --go_opt=module=github.com/nutmegwind/nutmegwind/nutmegpeer \
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -32,6 +32,7 @@
 	stored  nutmegid.Tokens // acked as in the store
 
 	remaining nutmegid.Tokens // of the budget, when last seen
+	grant     nutmegid.Tokens // of the latest commit with a need
 	holders   int
 	rich      []nutmegid.Incarnation
 	transfers map[nutmegid.TransferID]*move
@@ -105,7 +106,15 @@
 func (a *account) hopeful(n nutmegid.Tokens) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.known && !a.committer.closed.Load() && a.free+a.remaining >= n
+	return a.known && !a.committer.closed.Load() && (a.free >= n || a.grant > 0 && a.free+a.remaining >= n)
+}
+
+// scattered reports whether peers may hold n tokens among them, though one
+// search did not find them.
+func (a *account) scattered(n nutmegid.Tokens) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.terms.Share && (a.free >= n || time.Now().After(a.dryUntil))
 }
 
 // dry reports whether n tokens were searched for in vain a moment ago.
@@ -115,9 +124,13 @@
 	return n >= a.drySize && time.Now().Before(a.dryUntil)
 }
 
+// noteDry remembers a search that found too little.
 func (a *account) noteDry(n nutmegid.Tokens) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.free >= n || a.remaining >= n-a.free {
+		return
+	}
 	if now := time.Now(); now.After(a.dryUntil) || n < a.drySize {
 		a.drySize = n
 		a.dryUntil = now.Add(dryTime)
@@ -226,6 +239,9 @@
 	a.returning = 0
 	a.look = max(0, a.look-1)
 	granted := s.Granted - a.granted
+	if e.Need > 0 {
+		a.grant = granted
+	}
 	a.granted, a.taken, a.stored = s.Granted, s.Taken, e.Acked
 	if len(r.Witnesses) == 0 || e.Plain {
 		a.unlock(a.locked())
--- a/nutmegbudget/double_test.go
+++ b/nutmegbudget/double_test.go
@@ -233,7 +233,7 @@
 	return slices.DeleteFunc(n.Live(), func(inc nutmegid.Incarnation) bool { return n.bus.find(inc).domain == n.domain })
 }
 
-func (n *busNode) Ask(_ context.Context, to nutmegid.Incarnation, ask Ask) (nutmegid.Tokens, error) {
+func (n *busNode) Ask(ctx context.Context, to nutmegid.Incarnation, ask Ask) (nutmegid.Tokens, error) {
 	peer, err := n.reach(to)
 	if err != nil {
 		return 0, err
@@ -241,7 +241,7 @@
 	if n.bus.conjure {
 		return ask.Need, nil
 	}
-	given := peer.holder.Give(ask)
+	given := peer.holder.Give(ctx, ask)
 	return given, n.bus.answer()
 }
 
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -27,6 +27,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -198,51 +199,68 @@
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AcquireTimeout)
 	defer cancel()
 	w, o := h.account(workspace), h.account(owner)
-	for range acquireRounds {
-		unreachable := errors.Join(h.refill(ctx, w, n), h.refill(ctx, o, n))
+	withStore := true
+	for round := range acquireRounds {
+		unreachable := errors.Join(h.refill(ctx, w, n, withStore), h.refill(ctx, o, n, withStore))
 		if r, ok := h.Reserve(workspace, owner, n); ok {
 			return r, nil
 		}
 		if unreachable != nil {
 			return Reservation{}, unreachable
 		}
-		// Another request may have been faster to take what was granted.
-		if ctx.Err() != nil || !w.hopeful(n) || !o.hopeful(n) {
-			break
+		// Another request may have been faster to take what was granted, or two
+		// that searched at once may each have found a part.
+		switch {
+		case ctx.Err() != nil:
+			return Reservation{}, h.shortage(workspace, owner, n)
+		case w.hopeful(n) && o.hopeful(n):
+		case round < searchRounds && w.scattered(n) && o.scattered(n):
+			withStore = false
+			h.pause(ctx)
+		default:
+			return Reservation{}, h.shortage(workspace, owner, n)
 		}
 	}
 	return Reservation{}, h.shortage(workspace, owner, n)
 }
 
-// refill searches for tokens until the account could cover n.
-func (h *Holder) refill(ctx context.Context, a *account, n nutmegid.Tokens) error {
+// pause waits a random moment, so that searches do not collide again.
+func (h *Holder) pause(ctx context.Context) {
+	timer := time.NewTimer(time.Duration(rand.Int64N(int64(searchPause))))
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+// refill searches for tokens until the account could cover n. What is free
+// does not lower the need, as others that wait may take it.
+func (h *Holder) refill(ctx context.Context, a *account, n nutmegid.Tokens, withStore bool) error {
 	if a.lacking(n) <= 0 || a.committer.closed.Load() || a.dry(n) {
 		return nil
 	}
+	// The need also keeps what is found from being given back as idle.
+	a.addNeed(n)
+	defer a.addNeed(-n)
 	a.committer.acknowledgeFor(ctx, a, n)
-	if !a.storeCovers(n) {
+	if !withStore || !a.storeCovers(n) {
 		h.askPeers(ctx, a, n)
 	}
-	lacking := a.lacking(n)
-	if lacking <= 0 {
+	if a.lacking(n) <= 0 || !withStore {
 		return nil
 	}
-	err := h.askStore(ctx, a, lacking)
+	err := h.askStore(ctx, a)
 	a.committer.acknowledgeFor(ctx, a, n)
 	h.askPeers(ctx, a, n)
 	if a.lacking(n) <= 0 {
 		return nil
 	}
-	if err == nil && !a.storeCovers(n) {
-		a.noteDry(n)
-	}
 	return err
 }
 
 // askStore commits with the account's need.
-func (h *Holder) askStore(ctx context.Context, a *account, lacking nutmegid.Tokens) error {
-	a.addNeed(lacking)
-	defer a.addNeed(-lacking)
+func (h *Holder) askStore(ctx context.Context, a *account) error {
 	if err := a.committer.commitNow(ctx); err != nil {
 		return &Error{
 			Kind: KindUnreachable, Budget: a.id, Detail: "the store did not grant tokens: " + err.Error(),
@@ -261,6 +279,7 @@
 		a.mu.Lock()
 		known, free := a.known, a.free
 		a.mu.Unlock()
+		a.noteDry(n)
 		if !known && free < n {
 			return unknownBudget(id)
 		}
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -34,7 +34,7 @@
 // Give answers a peer's request for tokens: it debits first and returns the
 // amount. The same transfer id gets the same amount again. A lost answer
 // strands the tokens until the receiver sees the transfer in the store.
-func (h *Holder) Give(ask Ask) nutmegid.Tokens {
+func (h *Holder) Give(ctx context.Context, ask Ask) nutmegid.Tokens {
 	if ask.Need <= 0 || ask.Receiver == h.cfg.Incarnation || ask.Transfer == "" {
 		return 0
 	}
@@ -42,6 +42,9 @@
 	if a == nil || !a.terms.Share || a.committer.closed.Load() {
 		return 0
 	}
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.AskTimeout/2)
+	defer cancel()
+	a.committer.acknowledgeFor(ctx, a, ask.Need)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if m, ok := a.transfers[ask.Transfer]; ok {
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -14,6 +14,12 @@
 	DefaultDeadAfter = 15 * time.Second
 	// DefaultBudgetShards is the number of objects that hold budgets.
 	DefaultBudgetShards = 1
+	// DefaultSlice is the span of spend that witnesses acknowledge ahead.
+	DefaultSlice = 30 * time.Second
+	// DefaultWitnesses is how many instances witness a lease.
+	DefaultWitnesses = 2
+
+	maxWitnesses = 3
 	// DefaultHorizon is the span of spend that a lease covers while plenty is left.
 	DefaultHorizon = 10 * time.Minute
 	// DefaultMinLeaseTokens is the smallest lease that is asked for.
--- a/nutmegconf/settings.go
+++ b/nutmegconf/settings.go
@@ -107,6 +107,25 @@
 	Horizon        Duration        `toml:"horizon"`
 	MinLease       nutmegid.Tokens `toml:"min_lease_tokens"`
 	CommitInterval Duration        `toml:"commit_interval"`
+	// Share lets instances give each other tokens.
+	Share bool `toml:"share"`
+	// Slice is the span of spend that witnesses acknowledge ahead; 0 leaves leases unwitnessed.
+	Slice Duration `toml:"slice"`
+	// Witnesses is how many instances in other failure domains witness a lease.
+	Witnesses int `toml:"witnesses"`
+	// Keepers lets one instance for each shard commit for the others.
+	Keepers bool `toml:"keepers"`
+	// Owners hold what owners set otherwise for their own and their workspaces' budgets.
+	Owners map[nutmegid.Owner]OwnerBudgetSettings `toml:"owners"`
+}
+
+// OwnerBudgetSettings are one owner's weighing of overspend and false
+// refusals. What is not given is as in BudgetSettings.
+type OwnerBudgetSettings struct {
+	Horizon  *Duration        `toml:"horizon"`
+	MinLease *nutmegid.Tokens `toml:"min_lease_tokens"`
+	Share    *bool            `toml:"share"`
+	Slice    *Duration        `toml:"slice"`
 }
 
 // LimitSettings bound what callers may send and how long they may take.
@@ -150,6 +169,9 @@
 			Horizon:        Duration(DefaultHorizon),
 			MinLease:       DefaultMinLeaseTokens,
 			CommitInterval: Duration(DefaultCommitInterval),
+			Share:          true,
+			Slice:          Duration(DefaultSlice),
+			Witnesses:      DefaultWitnesses,
 		},
 		Limits: LimitSettings{
 			MaxBodyBytes:    DefaultMaxBodyBytes,
--- a/nutmegconf/settings_check.go
+++ b/nutmegconf/settings_check.go
@@ -32,6 +32,7 @@
 	c.platform(s.Platform)
 	c.peers(s.Peers)
 	c.budget(s.Budget, s.Platform)
+	c.witnesses(s.Budget)
 	c.limits(s.Limits)
 	c.certificate("tls.callers", s.TLS.Callers, false)
 	c.certificate("tls.operators", s.TLS.Operators, false)
@@ -153,6 +154,28 @@
 	}
 }
 
+func (c *checker) witnesses(b BudgetSettings) {
+	c.between("budget.witnesses", float64(b.Witnesses), 0, maxWitnesses)
+	if b.Slice < 0 {
+		c.fault("budget.slice", "%s is negative; use 0s for leases without witnesses", b.Slice)
+	}
+	for owner, o := range b.Owners {
+		c.ownerBudget("budget.owners."+string(owner), o)
+	}
+}
+
+func (c *checker) ownerBudget(section string, o OwnerBudgetSettings) {
+	if o.Horizon != nil {
+		c.positive(section+".horizon", *o.Horizon)
+	}
+	if o.MinLease != nil && *o.MinLease < 1 {
+		c.fault(section+".min_lease_tokens", "%d is not positive; give at least 1 token", *o.MinLease)
+	}
+	if o.Slice != nil && *o.Slice < 0 {
+		c.fault(section+".slice", "%s is negative; use 0s for leases without witnesses", *o.Slice)
+	}
+}
+
 func (c *checker) limits(l LimitSettings) {
 	c.between("limits.max_body_bytes", float64(l.MaxBodyBytes), 1<<10, 64<<20)
 	c.between("limits.max_header_bytes", float64(l.MaxHeaderBytes), 1<<10, 1<<20)
--- a/nutmegnode/budget.go
+++ b/nutmegnode/budget.go
@@ -2,29 +2,102 @@
 
 import (
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
 func (n *Node) buildBudget() {
 	b := n.cfg.Settings.Budget
-	policy := nutmegbudget.RateProportional{Horizon: time.Duration(b.Horizon), MinLease: b.MinLease}
-	if policy.Horizon == 0 {
-		policy.Horizon = nutmegbudget.DefaultHorizon
-	}
-	if policy.MinLease == 0 {
-		policy.MinLease = nutmegbudget.DefaultMinLease
+	if b.Keepers {
+		n.keeper = nutmegbudget.NewKeeper(nutmegbudget.KeeperConfig{Writer: n.writer, Terms: n.terms, Shards: b.Shards})
 	}
+	peers := budgetPeers{n}
 	n.holder = nutmegbudget.NewHolder(nutmegbudget.HolderConfig{
 		Writer:         n.writer,
 		Incarnation:    n.incarnation,
 		Instance:       n.cfg.Settings.Instance.Name,
 		Shards:         b.Shards,
-		Policy:         policy,
+		Terms:          n.terms,
+		Peers:          peers,
+		Witnesses:      b.Witnesses,
+		Keeper:         n.keeper,
 		CommitInterval: time.Duration(b.CommitInterval),
 		OnCommit:       n.committed,
+		OnTransfer: func(id nutmegid.BudgetID, t nutmegbudget.Transfer) {
+			n.transferred("received", id, t.Tokens, t.Giver)
+		},
+	})
+	n.witness = nutmegbudget.NewWitness(nutmegbudget.WitnessConfig{
+		Writer:      n.writer,
+		Incarnation: n.incarnation,
+		Interval:    time.Duration(b.CommitInterval),
+		Live:        func(inc nutmegid.Incarnation) bool { return slices.Contains(peers.Live(), inc) },
+		OnClose:     n.leasesClosed,
+	})
+	_ = n.metrics.Register("budget_stranded_tokens", metrics.NewFunctionalGauge(n.strandedTokens))
+}
+
+// terms returns the owner's terms for a budget.
+func (n *Node) terms(id nutmegid.BudgetID) nutmegbudget.Terms {
+	b := n.cfg.Settings.Budget
+	o := b.Owners[n.ownerOf(id)]
+	return nutmegbudget.Terms{
+		Policy: nutmegbudget.RateProportional{
+			Horizon:  time.Duration(given(o.Horizon, b.Horizon)),
+			MinLease: given(o.MinLease, b.MinLease),
+		},
+		Share: given(o.Share, b.Share),
+		Slice: time.Duration(given(o.Slice, b.Slice)),
+	}
+}
+
+func given[T any](own *T, otherwise T) T {
+	if own != nil {
+		return *own
+	}
+	return otherwise
+}
+
+// ownerOf returns the owner whose settings a budget follows.
+func (n *Node) ownerOf(id nutmegid.BudgetID) nutmegid.Owner {
+	for owner := range n.cfg.Settings.Budget.Owners {
+		if nutmegid.OwnerBudget(owner) == id {
+			return owner
+		}
+	}
+	config := n.view.Current()
+	if config == nil {
+		return ""
+	}
+	name := strings.TrimPrefix(string(id), string(nutmegid.WorkspaceBudget("")))
+	return config.Workspaces[nutmegid.Workspace(name)].Owner
+}
+
+func (n *Node) strandedTokens() int64 {
+	var sum nutmegid.Tokens
+	for _, s := range n.holder.Stranded() {
+		sum += s.Tokens
+	}
+	return int64(sum)
+}
+
+func (n *Node) transferred(verb string, id nutmegid.BudgetID, tokens nutmegid.Tokens, peer nutmegid.Incarnation) {
+	n.ring.Record(nutmegtime.Event{
+		Kind: nutmegtime.KindTransfer, Budget: id, Tokens: tokens, Detail: fmt.Sprintf("%s, peer %s", verb, peer),
+	})
+}
+
+func (n *Node) leasesClosed(holder nutmegid.Incarnation, shard int) {
+	n.count("budget_leases_closed")
+	n.ring.Record(nutmegtime.Event{
+		Kind: nutmegtime.KindReturn, Detail: fmt.Sprintf("closed leases of silent %s in shard %d", holder, shard),
 	})
 }
 
--- /dev/null
+++ b/nutmegnode/budget_peers.go
@@ -0,0 +1,134 @@
+package nutmegnode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
+)
+
+// budgetPeers reaches the budgets of the other instances.
+type budgetPeers struct {
+	node *Node
+}
+
+var _ nutmegbudget.Peers = budgetPeers{}
+
+// members are the peers that answer.
+func (b budgetPeers) members() []nutmegpeer.Member {
+	if b.node.peers == nil {
+		return nil
+	}
+	return slices.DeleteFunc(b.node.peers.Members(), func(m nutmegpeer.Member) bool {
+		return m.State != nutmegpeer.StateAlive && m.State != nutmegpeer.StateLeaving
+	})
+}
+
+// Live implements nutmegbudget.Peers.
+func (b budgetPeers) Live() []nutmegid.Incarnation {
+	return incarnations(b.members())
+}
+
+// Witnesses implements nutmegbudget.Peers: members that stay, in other failure
+// domains.
+func (b budgetPeers) Witnesses() []nutmegid.Incarnation {
+	domain := b.node.cfg.Settings.Instance.FailureDomain
+	return incarnations(slices.DeleteFunc(b.members(), func(m nutmegpeer.Member) bool {
+		return m.FailureDomain == domain || m.State != nutmegpeer.StateAlive
+	}))
+}
+
+func incarnations(members []nutmegpeer.Member) []nutmegid.Incarnation {
+	list := make([]nutmegid.Incarnation, 0, len(members))
+	for _, m := range members {
+		list = append(list, m.Incarnation)
+	}
+	return list
+}
+
+func (b budgetPeers) address(inc nutmegid.Incarnation) (string, error) {
+	for _, m := range b.members() {
+		if m.Incarnation == inc {
+			return m.Address, nil
+		}
+	}
+	return "", fmt.Errorf("incarnation %q is no live member", inc)
+}
+
+// Ask implements nutmegbudget.Peers.
+func (b budgetPeers) Ask(ctx context.Context, to nutmegid.Incarnation, ask nutmegbudget.Ask) (nutmegid.Tokens, error) {
+	address, err := b.address(to)
+	if err != nil {
+		return 0, err
+	}
+	b.node.count("budget_transfer_asks")
+	return b.node.peers.Transfer(ctx, address, nutmegpeer.TransferAsk(ask))
+}
+
+// Acknowledge implements nutmegbudget.Peers.
+func (b budgetPeers) Acknowledge(ctx context.Context, to nutmegid.Incarnation, s nutmegbudget.Slices) (bool, error) {
+	address, err := b.address(to)
+	if err != nil {
+		return false, err
+	}
+	return b.node.peers.Acknowledge(ctx, address, nutmegpeer.SliceAsk(s))
+}
+
+// Commit implements nutmegbudget.Peers.
+func (b budgetPeers) Commit(ctx context.Context, to nutmegid.Incarnation, shard int, batch nutmegbudget.Batch) (nutmegbudget.Result, error) {
+	var result nutmegbudget.Result
+	address, err := b.address(to)
+	if err != nil {
+		return result, err
+	}
+	raw, err := json.Marshal(batch)
+	if err != nil {
+		return result, err
+	}
+	answer, err := b.node.peers.Commit(ctx, address, shard, raw)
+	if err != nil {
+		return result, err
+	}
+	return result, json.Unmarshal(answer, &result)
+}
+
+// budgetServer answers the calls of peers on this instance's budgets.
+type budgetServer struct {
+	node *Node
+}
+
+var _ nutmegpeer.Budgets = budgetServer{}
+
+// Give implements nutmegpeer.Budgets.
+func (b budgetServer) Give(ctx context.Context, ask nutmegpeer.TransferAsk) nutmegid.Tokens {
+	given := b.node.holder.Give(ctx, nutmegbudget.Ask(ask))
+	if given > 0 {
+		b.node.transferred("gave", ask.Budget, given, ask.Receiver)
+	}
+	return given
+}
+
+// Acknowledge implements nutmegpeer.Budgets.
+func (b budgetServer) Acknowledge(s nutmegpeer.SliceAsk) bool {
+	return b.node.witness.Acknowledge(nutmegbudget.Slices(s))
+}
+
+// Commit implements nutmegpeer.Budgets.
+func (b budgetServer) Commit(ctx context.Context, shard int, raw []byte) ([]byte, error) {
+	if b.node.keeper == nil {
+		return nil, fmt.Errorf("instance %q keeps no shards; write to the store", b.node.cfg.Settings.Instance.Name)
+	}
+	var batch nutmegbudget.Batch
+	if err := json.Unmarshal(raw, &batch); err != nil {
+		return nil, fmt.Errorf("batch is not JSON; run the same release on all instances: %w", err)
+	}
+	result, err := b.node.keeper.Commit(ctx, shard, batch)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(result)
+}
--- a/nutmegnode/lifecycle.go
+++ b/nutmegnode/lifecycle.go
@@ -82,6 +82,7 @@
 		return err
 	}
 	n.holder.Start()
+	n.witness.Start()
 	n.ledger.Start()
 	n.desk.Start()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -172,6 +173,7 @@
 	failed = errors.Join(failed, n.drain(ctx, finish), n.desk.Stop(finish), n.holder.Stop(finish), n.ledger.Stop(finish))
 	n.stopFollowing()
 	n.router.stop()
+	n.witness.Stop()
 	n.peers.Stop()
 	failed = errors.Join(failed, n.operators.stop(finish))
 	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStop, Detail: "stopped"})
@@ -193,6 +195,7 @@
 	n.router.stop()
 	n.sender.Abandon()
 	n.holder.Abandon()
+	n.witness.Stop()
 	n.ledger.Abandon()
 	n.desk.Abandon()
 	n.answers.cancelAll(errAbandoned)
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -64,6 +64,8 @@
 	completer   *nutmegconf.Completer
 	orderEngine orderFunc // nil while engines take no orders
 	holder      *nutmegbudget.Holder
+	witness     *nutmegbudget.Witness
+	keeper      *nutmegbudget.Keeper // nil without keepers
 	ledger      *nutmegledger.Writer
 	copies      *lineCopies
 	desk        *nutmegorder.Desk
@@ -166,6 +168,7 @@
 			FailureDomain: s.Instance.FailureDomain,
 			Address:       n.addresses.Peers,
 		},
+		Budgets:    budgetServer{n},
 		Seeds:      s.Peers.Seeds,
 		Dial:       n.peerDial,
 		DeadAfter:  time.Duration(s.Peers.DeadAfter),
--- a/nutmegnode/operators.go
+++ b/nutmegnode/operators.go
@@ -98,7 +98,9 @@
 	StoreUp     bool                   `json:"store_up"`
 	NotReady    string                 `json:"not_ready,omitempty"`
 	Balances    []nutmegbudget.Balance `json:"balances"`
-	Peers       []nutmegpeer.Member    `json:"peers"`
+	// Stranded are leases of instances that are not up, as of the latest commits.
+	Stranded []nutmegbudget.Stranded `json:"stranded,omitempty"`
+	Peers    []nutmegpeer.Member     `json:"peers"`
 }
 
 func (n *Node) status(w http.ResponseWriter, _ *http.Request, _ actor) error {
@@ -110,6 +112,7 @@
 		StoreUp:     n.client.Up(),
 		NotReady:    n.notReady(),
 		Balances:    n.holder.Balances(),
+		Stranded:    n.holder.Stranded(),
 		Peers:       n.peers.Members(),
 	})
 	return nil
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -56,7 +56,7 @@
 	KeepDead    time.Duration // DefaultKeepDead when zero
 	IdleTimeout time.Duration // of connections; DefaultIdleTimeout when zero
 	Clock       *nutmegtime.Clock
-	Giver       Giver
+	Budgets     Budgets
 	Library     Library
 	Lines       LineKeeper
 	Revision    func() nutmegid.Revision
--- a/nutmegpeer/transfer.go
+++ b/nutmegpeer/transfer.go
@@ -13,29 +13,37 @@
 	Transfer nutmegid.TransferID
 	Budget   nutmegid.BudgetID
 	Receiver nutmegid.Incarnation
-	Tokens   nutmegid.Tokens
-	Revision nutmegid.Revision
+	Need     nutmegid.Tokens // the least that helps
+	Want     nutmegid.Tokens // what the receiver can use
 }
 
-// Giver gives tokens to peers.
-type Giver interface {
-	Give(ask TransferAsk) nutmegid.Tokens
-	Acknowledged(id nutmegid.TransferID, receiver nutmegid.Incarnation)
+// Budgets is what peers ask of an instance's budgets.
+type Budgets interface {
+	// Give debits tokens for a peer and returns how many.
+	Give(ctx context.Context, ask TransferAsk) nutmegid.Tokens
+	// Acknowledge witnesses slices of a peer's leases; false means closed.
+	Acknowledge(s SliceAsk) bool
+	// Commit writes a peer's encoded batch and returns its encoded result.
+	Commit(ctx context.Context, shard int, batch []byte) ([]byte, error)
 }
 
-// Transfer asks one peer for tokens and returns what it gave.
-func (p *Peers) Transfer(ctx context.Context, address string, ask TransferAsk) (nutmegid.Incarnation, nutmegid.Tokens, error) {
+// errNoBudgets answers calls on budgets where the instance serves none.
+var errNoBudgets = errors.New("this instance serves no budgets to peers; ask another peer")
+
+// Transfer asks one peer for tokens and returns what it gave. After an error
+// the peer may have given; the store tells once the giver has settled.
+func (p *Peers) Transfer(ctx context.Context, address string, ask TransferAsk) (nutmegid.Tokens, error) {
 	req := &peerpb.TransferRequest{
 		Fleet:    p.cfg.Fleet,
 		Transfer: string(ask.Transfer),
 		Budget:   string(ask.Budget),
 		Receiver: string(ask.Receiver),
-		Tokens:   int64(ask.Tokens),
-		Revision: uint64(ask.Revision),
+		Need:     int64(ask.Need),
+		Want:     int64(ask.Want),
 	}
 	var err error
 	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
-		return "", 0, err
+		return 0, err
 	}
 	var reply *peerpb.TransferReply
 	err = p.callContext(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
@@ -44,49 +52,34 @@
 		return err
 	})
 	if err != nil {
-		return "", 0, err
+		return 0, err
 	}
-	return nutmegid.Incarnation(reply.GetGiver()), nutmegid.Tokens(reply.GetTokens()), nil
-}
-
-// Acknowledge tells the giver that a transfer has arrived.
-func (p *Peers) Acknowledge(ctx context.Context, address string, id nutmegid.TransferID) error {
-	ack := &peerpb.TransferAck{Fleet: p.cfg.Fleet, Transfer: string(id), Receiver: string(p.cfg.Self.Incarnation)}
-	var err error
-	if ack.Mac, err = sign(p.cfg.Key, ack); err != nil {
-		return err
+	if err := p.verify(reply); err != nil {
+		return 0, err
 	}
-	return p.callContext(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
-		_, err := client.Acknowledge(ctx, ack)
-		return err
-	})
+	if reply.GetTransfer() != req.GetTransfer() || reply.GetTokens() < 0 {
+		return 0, errDamaged
+	}
+	return nutmegid.Tokens(reply.GetTokens()), nil
 }
 
 // Transfer implements peerpb.DRPCPeerServer.
-func (s *server) Transfer(_ context.Context, r *peerpb.TransferRequest) (*peerpb.TransferReply, error) {
+func (s *server) Transfer(ctx context.Context, r *peerpb.TransferRequest) (*peerpb.TransferReply, error) {
 	if err := s.peers.verify(r); err != nil {
 		return nil, err
 	}
-	if s.peers.cfg.Giver == nil {
-		return nil, errors.New("this instance gives no tokens; ask another peer")
+	if s.peers.cfg.Budgets == nil {
+		return nil, errNoBudgets
 	}
-	given := s.peers.cfg.Giver.Give(TransferAsk{
+	given := s.peers.cfg.Budgets.Give(ctx, TransferAsk{
 		Transfer: nutmegid.TransferID(r.GetTransfer()),
 		Budget:   nutmegid.BudgetID(r.GetBudget()),
 		Receiver: nutmegid.Incarnation(r.GetReceiver()),
-		Tokens:   nutmegid.Tokens(r.GetTokens()),
-		Revision: nutmegid.Revision(r.GetRevision()),
+		Need:     nutmegid.Tokens(r.GetNeed()),
+		Want:     nutmegid.Tokens(r.GetWant()),
 	})
-	return &peerpb.TransferReply{Giver: string(s.peers.cfg.Self.Incarnation), Tokens: int64(given)}, nil
-}
-
-// Acknowledge implements peerpb.DRPCPeerServer.
-func (s *server) Acknowledge(_ context.Context, a *peerpb.TransferAck) (*peerpb.Empty, error) {
-	if err := s.peers.verify(a); err != nil {
-		return nil, err
-	}
-	if s.peers.cfg.Giver != nil {
-		s.peers.cfg.Giver.Acknowledged(nutmegid.TransferID(a.GetTransfer()), nutmegid.Incarnation(a.GetReceiver()))
-	}
-	return &peerpb.Empty{}, nil
+	reply := &peerpb.TransferReply{Fleet: s.peers.cfg.Fleet, Transfer: r.GetTransfer(), Tokens: int64(given)}
+	var err error
+	reply.Mac, err = sign(s.peers.cfg.Key, reply)
+	return reply, err
 }
