--- a/nutmegbudget/compare_test.go
+++ b/nutmegbudget/compare_test.go
@@ -349,7 +349,7 @@
 		x.score.Overspend = max(x.score.Overspend, -free)
 	}
 	x.score.Served = float64(x.truth.ran) / float64(x.oracle.ran)
-	x.score.Writes = x.store.writes
+	x.score.Writes = x.store.written()
 }
 
 func compare(t *testing.T, c contender, s scenario, interval time.Duration) score {
--- a/nutmegbudget/defaults.go
+++ b/nutmegbudget/defaults.go
@@ -35,7 +35,7 @@
 	dryTime            = 200 * time.Millisecond // after a fruitless search for tokens
 	lookCommits        = 3                      // commits that look for a transfer whose answer was lost
 	stopAttempts       = 8
-	searchRounds       = 4                     // of them, where peers may hold enough
-	searchPause        = 50 * time.Millisecond // at most, between two of them
-	acquireRounds      = 8                     // searches for tokens of one request
+	searchRounds       = 8                      // of them, where peers may hold enough
+	searchPause        = 100 * time.Millisecond // at most, between two of them
+	acquireRounds      = 16                     // searches for tokens of one request
 )
--- a/nutmegbudget/double_test.go
+++ b/nutmegbudget/double_test.go
@@ -291,3 +291,9 @@
 	b.nodes = append(b.nodes, n)
 	return n
 }
+
+func (m *memStore) written() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.writes
+}
--- /dev/null
+++ b/nutmegbudget/writes_test.go
@@ -0,0 +1,101 @@
+//go:build !race
+
+package nutmegbudget
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+const writeSeconds = 20
+
+var writeTable = flag.String("write_table", "", "write the table of store writes a second to this file")
+
+// countWrites lets every instance use every budget each second, and returns
+// the writes a second to one shard in the steady state.
+func countWrites(t *testing.T, instances, budgets int, kept bool) float64 {
+	t.Helper()
+	var rate float64
+	synctest.Test(t, func(t *testing.T) {
+		store := newMemStore()
+		b := &bus{cut: make(map[[2]int]bool)}
+		w := &world{store: store}
+		ids := []nutmegid.BudgetID{ownerID}
+		for i := range budgets {
+			ids = append(ids, workspaceBudget(i))
+		}
+		err := w.operate(func(s *Shard) error {
+			for _, id := range ids {
+				if err := s.TopUp(id, "first", benchTokens); err != nil {
+					return err
+				}
+			}
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range instances {
+			link := &memLink{store: store, faults: linkFaults{slow: 3 * time.Millisecond}}
+			b.newNode(i, link, Terms{Policy: runPolicy}, 0, kept).holder.Start()
+			time.Sleep(time.Second / time.Duration(instances))
+		}
+		before := 0
+		for second := range 2 * writeSeconds {
+			if second == writeSeconds {
+				before = store.written()
+			}
+			for _, n := range b.nodes {
+				for _, id := range ids[1:] {
+					if r, err := n.holder.Acquire(context.Background(), id, ownerID, 10); err == nil {
+						r.Settle(10)
+					}
+				}
+			}
+			time.Sleep(time.Second)
+		}
+		rate = float64(store.written()-before) / writeSeconds
+		for _, n := range b.nodes {
+			n.holder.Abandon()
+		}
+		time.Sleep(time.Minute)
+	})
+	return rate
+}
+
+// TestWritesDoNotGrowWithBudgets holds the writes of a shard to one for each
+// instance and interval.
+func TestWritesDoNotGrowWithBudgets(t *testing.T) {
+	few, many := countWrites(t, 3, 5, false), countWrites(t, 3, 50, false)
+	if diff := cmp.Diff([]bool{true, true}, []bool{few <= 3.1, many <= 3.1}); diff != "" {
+		t.Errorf("writes a second are %.2f with 5 budgets and %.2f with 50; want 3 at most (-want +got):\n%s", few, many, diff)
+	}
+}
+
+// TestWriteTable measures store writes a second where a file is named.
+func TestWriteTable(t *testing.T) {
+	if *writeTable == "" {
+		return
+	}
+	var table strings.Builder
+	table.WriteString("| instances | budgets of the shard | direct, writes/s | kept, writes/s |\n|---|---|---|---|\n")
+	for _, instances := range []int{3, 6, 12} {
+		for _, budgets := range []int{10, 100} {
+			fmt.Fprintf(&table, "| %d | %d | %.1f | %.1f |\n", instances, budgets,
+				countWrites(t, instances, budgets, false), countWrites(t, instances, budgets, true))
+		}
+	}
+	if err := os.WriteFile(*writeTable, []byte(table.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
