--- a/nutmegtrace/records.go
+++ b/nutmegtrace/records.go
@@ -18,7 +18,8 @@
 	Runs     map[nutmegid.Upstream][]nutmegstand.EngineRun
 	Calls    map[nutmegid.Upstream][]nutmegstand.ServiceCall
 	Platform nutmegstand.PlatformRecord
-	Lines    []nutmegledger.Line
+	Lines    []nutmegledger.Line // of the whole ledger
+	Billed   []nutmegledger.Line // the one that counts of each request
 	Shards   []nutmegbudget.Shard
 }
 
@@ -50,6 +51,9 @@
 	if r.Lines, err = t.Lines(ctx); err != nil {
 		return r, err
 	}
+	if r.Billed, _, err = nutmegledger.Read(ctx, t.store()); err != nil {
+		return r, err
+	}
 	r.Shards, err = t.shards(ctx)
 	return r, err
 }
