--- a/nutmegtrace/fleet.go
+++ b/nutmegtrace/fleet.go
@@ -63,6 +63,7 @@
 	Nodes    []*nutmegnode.Node
 
 	servers []*http.Server
+	name    string // unlike that of any other fleet, whose addresses this one may be given again
 
 	placeMu sync.Mutex
 	places  map[string]nutmegid.FailureDomain // of processes and addresses
@@ -77,6 +78,7 @@
 		Platform: nutmegstand.NewPlatform(cfg.Platform),
 		Links:    nutmegstand.NewLinks(),
 		places:   make(map[string]nutmegid.FailureDomain),
+		name:     fleetName + "-" + string(nutmegid.NewIncarnation()),
 	}
 	f.Model = cfg.Model
 	f.Links.SetDelay(f.linkDelay)
@@ -263,7 +265,7 @@
 	s.Instance = nutmegconf.InstanceSettings{
 		Name:             nutmegid.Instance(instanceName(slot)),
 		FailureDomain:    f.domain(slot),
-		Fleet:            fleetName,
+		Fleet:            f.name,
 		BootstrapKeyHash: nutmegconf.HashKey(operatorKey),
 	}
 	s.Listen = nutmegconf.ListenSettings{Callers: loopback, Operators: loopback, Peers: loopback}
