--- a/nutmegtrace/defaults.go
+++ b/nutmegtrace/defaults.go
@@ -33,7 +33,7 @@
 	loopback                     = "127.0.0.1:0"
 	embeddedPlatformConnsPerHost = 64
 
-	settleWait       = 5 * time.Second        // for the ledger to hold all answers
+	settleWait       = 45 * time.Second       // for the ledger to hold all answers; peers write the lines of a dead instance after 20 s
 	settlePoll       = 100 * time.Millisecond // between two readings of the ledger
 	revisionPoll     = 25 * time.Millisecond  // between two readings of an instance's revision
 	revisionDeadline = 500 * time.Millisecond // of one reading
--- a/nutmegtrace/fleet.go
+++ b/nutmegtrace/fleet.go
@@ -309,7 +309,7 @@
 
 // Close stops all instances and stand-ins.
 func (f *Fleet) Close() error {
-	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
 	var failed error
 	for _, n := range f.Nodes {
