--- a/nutmegnode/chat.go
+++ b/nutmegnode/chat.go
@@ -140,13 +140,24 @@
 	if err != nil && !errors.Is(context.Cause(ctx), errAbandoned) {
 		c.node.noteChat(c.answer, nutmegroute.Place{})
 	}
+	c.ended(err)
 	c.answer.log.Finish(err)
 	c.node.answers.finish(c.answer, err == nil)
 }
 
+// ended notes how the answer ended.
+func (c *chatRun) ended(err error) {
+	detail := "whole"
+	if err != nil {
+		detail = err.Error()
+	}
+	c.node.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindAnswer, Request: c.chat.Request, Detail: detail})
+}
+
 // started notes the stream that the answer comes from.
 func (c *chatRun) started(place nutmegroute.Place) {
 	c.answer.log.SetPlace(place)
+	c.node.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindSend, Request: c.chat.Request, Upstream: place.Upstream, Detail: place.Stream})
 	c.node.noteChat(c.answer, place)
 }
 
--- a/nutmegnode/routing_orders.go
+++ b/nutmegnode/routing_orders.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 	"github.com/nutmegwind/nutmegwind/nutmegroute"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
+	"github.com/nutmegwind/nutmegwind/nutmegtime"
 )
 
 const (
@@ -130,6 +131,7 @@
 func (n *Node) upstreamLeaves(note nutmegroute.LeavingNote) {
 	n.log.WithField("upstream", note.Upstream).Info("upstream is leaving")
 	n.count("upstreams_leaving")
+	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindUpstream, Upstream: note.Upstream, Detail: "leaving"})
 	select {
 	case n.router.leave <- note:
 	default:
--- a/nutmegtime/event.go
+++ b/nutmegtime/event.go
@@ -20,7 +20,6 @@
 	KindReserve     Kind = "reserve"
 	KindRefuse      Kind = "refuse"
 	KindSend        Kind = "send"
-	KindFirstToken  Kind = "first_token"
 	KindAnswer      Kind = "answer"
 	KindResume      Kind = "resume"
 	KindSettle      Kind = "settle"
@@ -33,14 +32,12 @@
 	KindPlan        Kind = "plan"
 	KindConfirm     Kind = "confirm"
 	KindRevision    Kind = "revision"
-	KindPeer        Kind = "peer"
 	KindStoreState  Kind = "store_state"
 	KindUpstream    Kind = "upstream"
 	KindQuarantine  Kind = "quarantine"
 	KindEngineCall  Kind = "engine_call"
 	KindServiceCall Kind = "service_call"
 	KindObjectCall  Kind = "object_call"
-	KindFault       Kind = "fault"
 )
 
 // Event is one entry of the time line.
