End the wait for a line's copy as soon as no peer takes it

Cause: the wait wanted two attempts but woke the copier once, so that with no peer in reach every answer ended 250 ms late.

Conclusion: a lone instance pays no wait.

--- a/nutmegledger/copies.go
+++ b/nutmegledger/copies.go
@@ -37,8 +37,8 @@
 func (w *Writer) waitCopied(ctx context.Context, number uint64) bool {
 	w.mu.Lock()
 	limit := w.round + 2
-	w.wakeCopier()
 	for w.copied < number && w.round < limit {
+		w.wakeCopier()
 		tried := w.tried
 		w.mu.Unlock()
 		select {
--- a/nutmegledger/ledger_test.go
+++ b/nutmegledger/ledger_test.go
@@ -130,6 +130,7 @@
 func TestAddReturnsWhenNoPeerTakesTheCopy(t *testing.T) {
 	_, client := store(t)
 	w := newTestWriter(client, "w", &peer{kept: NewKept(time.Now), down: true})
+	w.cfg.CopyTimeout = time.Hour // the answer must not wait for it
 	w.Start()
 	if w.Add(t.Context(), line(1)) {
 		t.Error("a line counts as copied although no peer took it")
--- /dev/null
+++ b/nutmegtrace/rush_test.go
@@ -0,0 +1,40 @@
+package nutmegtrace
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+)
+
+// TestRushOnAFreshInstanceIsNotRefused sends many chats at once to an instance
+// that holds no lease yet; the budgets cover them a thousand times.
+func TestRushOnAFreshInstanceIsNotRefused(t *testing.T) {
+	ctx := testContext(t)
+	f := startFleet(t, FleetConfig{Instances: 1, Engines: 4})
+	err := f.Setup(ctx, []OwnerSpec{{Name: "kaca", Tokens: 1_000_000_000}}, []WorkspaceSpec{{Name: "rack", Owner: "kaca", Tokens: 1_000_000_000}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	const chats = 200
+	results := make([]Result, chats)
+	var wait sync.WaitGroup
+	for n := range chats {
+		wait.Go(func() {
+			result, err := f.Chat(ctx, 0, Chat{Workspace: "rack", Prompt: fmt.Sprintf("sheet %d", n), MaxTokens: 10})
+			if err != nil {
+				t.Errorf("chat %d: %v", n, err)
+			}
+			results[n] = result
+		})
+	}
+	wait.Wait()
+	refused := make(map[string]int)
+	for _, r := range results {
+		if !r.Whole {
+			refused[fmt.Sprintf("%d %s", r.Status, r.Kind)]++
+		}
+	}
+	if len(refused) > 0 {
+		t.Errorf("of %d chats were not answered: %v", chats, refused)
+	}
+}
