--- a/nutmegbudget/defaults.go
+++ b/nutmegbudget/defaults.go
@@ -28,7 +28,6 @@
 	keepFactor         = 2       // times the target that is kept before tokens return
 	maxReleasedHolders = 64      // of a shard; older ones become final write-offs
 	maxAskedPeers      = 8       // peers that one request asks for tokens
-	maxRecentTopUps    = 32      // ids kept in the shard; older ones are archived
 	maxUnsettledIDs    = 4096    // transfers of one account; more are refused
 	minSlice           = 1_000   // tokens; the least that witnesses acknowledge ahead
 	maxBackoff         = 10 * time.Second
--- a/nutmegbudget/shard.go
+++ b/nutmegbudget/shard.go
@@ -41,10 +41,8 @@
 	WrittenOff nutmegid.Tokens                      `json:"written_off,omitempty"`
 	Removed    bool                                 `json:"removed,omitempty"`
 	TopUps     map[nutmegid.TopUpID]nutmegid.Tokens `json:"top_ups"`
-	// Archives counts the objects that hold older top-up ids.
-	Archives  uint64                            `json:"archives,omitempty"`
-	Leases    map[nutmegid.Incarnation]*Lease   `json:"leases"`
-	Transfers map[nutmegid.TransferID]*Transfer `json:"transfers,omitempty"`
+	Leases     map[nutmegid.Incarnation]*Lease      `json:"leases"`
+	Transfers  map[nutmegid.TransferID]*Transfer    `json:"transfers,omitempty"`
 }
 
 // Lease is the unsettled share of a budget that one incarnation may spend.
