Find a chat by its stream's proposed name when its first connection fails

Cause: a connection that went silent before the engine's headers left the chat's fate unknown; it ran twice or not at all, and its bound was billed beside its use.

Ruled out: the request's id as name (attempts share it); a bare 404 as proof (the chat may still arrive); a name that was never seen at an engine that restarted since.

Conclusion: engines that take no proposed names keep the former behaviour.

--- a/nutmegroute/chat.go
+++ b/nutmegroute/chat.go
@@ -5,6 +5,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"time"
+
+	"github.com/google/uuid"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
@@ -230,26 +233,32 @@
 	if ctx.Err() != nil {
 		return use, endedError(ctx, c.Upstream, RanNo)
 	}
-	conn, stream, err := s.openChat(ctx, c, chat)
-	if err != nil {
-		return use, err
-	}
 	place := Place{
 		Request: chat.Request, Workspace: chat.Workspace, Owner: chat.Owner, Model: chat.Model,
-		Upstream: c.Upstream, Stream: stream, Bound: chat.Bound, MaxAnswer: chat.MaxAnswer,
-	}
-	if chat.OnPlace != nil {
-		chat.OnPlace(place)
+		Upstream: c.Upstream, Stream: uuid.NewString(), Bound: chat.Bound, MaxAnswer: chat.MaxAnswer,
 	}
 	first := func(e Event) error {
 		c.FirstToken()
 		return sink(e)
 	}
+	asked := time.Now()
+	conn, stream, err := s.openChat(ctx, c, chat, place.Stream)
+	if err != nil && RanOf(err) == RanUnknown {
+		return s.newFollower(c.URL, place, 0, first).findStream(ctx, asked, chat.OnPlace, err)
+	}
+	if err != nil {
+		return use, err
+	}
+	place.Stream = stream
+	if chat.OnPlace != nil {
+		chat.OnPlace(place)
+	}
 	return s.newFollower(c.URL, place, 0, first).run(ctx, conn)
 }
 
-// openChat posts the chat and returns the connection and the engine's stream.
-func (s *Sender) openChat(ctx context.Context, c *Pick, chat Chat) (*connection, string, error) {
+// openChat posts the chat under a proposed name of its stream, and returns the
+// connection and the name that the engine gave it.
+func (s *Sender) openChat(ctx context.Context, c *Pick, chat Chat, name string) (*connection, string, error) {
 	connCtx, cancel := context.WithCancel(ctx)
 	req, err := http.NewRequestWithContext(connCtx, http.MethodPost, c.URL+"/v1/chat/completions", bytes.NewReader(chat.Body))
 	if err != nil {
@@ -260,6 +269,7 @@
 	req.Header.Set("X-Request-Id", string(chat.Request))
 	req.Header.Set("X-Workspace", string(chat.Workspace))
 	req.Header.Set("X-Priority", fmt.Sprint(chat.Priority))
+	req.Header.Set(streamHeader, name)
 	resp, err := s.streams.Do(req)
 	if err != nil {
 		cancel()
--- a/nutmegroute/classify.go
+++ b/nutmegroute/classify.go
@@ -28,6 +28,12 @@
 	return &Error{Kind: KindUnreachable, Ran: RanUnknown, Upstream: u, Remedy: "ask for the request's state before sending it again", Err: err}
 }
 
+// notRunError is a failed request of which the upstream has proved that it did
+// not run and will not run.
+func notRunError(u nutmegid.Upstream, err error) error {
+	return &Error{Kind: KindUnreachable, Ran: RanNo, Upstream: u, Remedy: "try again", Err: err}
+}
+
 func isDialError(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
--- a/nutmegroute/stream.go
+++ b/nutmegroute/stream.go
@@ -40,6 +40,7 @@
 	use      Use
 	ended    bool      // the finishing event was passed on
 	progress time.Time // of the last event
+	asked    time.Time // before the chat was sent
 }
 
 func (s *Sender) newFollower(url string, place Place, after Offset, sink func(Event) error) *follower {
@@ -48,6 +49,7 @@
 		answered: nutmegid.Tokens(after),
 		use:      Use{Upstream: place.Upstream, Tokens: place.Bound},
 		progress: time.Now(),
+		asked:    time.Now(),
 	}
 }
 
@@ -73,6 +75,31 @@
 	return f.use, err
 }
 
+// findStream goes on with a chat whose first connection failed after it was
+// sent: an engine that took the proposed name resumes the stream from its
+// start. Where no stream of that name is found, the name is cancelled, and
+// failed stays the outcome; an engine that refuses a cancelled name from then on
+// has proved that the chat did not run.
+func (f *follower) findStream(ctx context.Context, asked time.Time, onPlace func(Place), failed error) (Use, error) {
+	f.asked = asked
+	var c *connection
+	err := ctx.Err()
+	if err == nil {
+		c, err = f.reopen(ctx)
+	}
+	if err != nil {
+		f.cancel(ctx)
+		if f.use.Exact && f.use.Tokens == 0 {
+			failed = notRunError(f.place.Upstream, failed)
+		}
+		return f.use, failed
+	}
+	if onPlace != nil {
+		onPlace(f.place)
+	}
+	return f.run(ctx, c)
+}
+
 func (f *follower) follow(ctx context.Context, c *connection) error {
 	for barren := 0; barren < maxBarrenConnections; {
 		if c != nil {
@@ -251,6 +278,17 @@
 type cancelAnswer struct {
 	PromptTokens nutmegid.Tokens `json:"prompt_tokens"`
 	AnswerTokens nutmegid.Tokens `json:"answer_tokens"`
+	NeverRan     bool            `json:"never_ran"` // the name was unknown and is refused from now on
+	UptimeMillis int64           `json:"uptime_ms"` // since the engine's last restart
+}
+
+// counts reports whether the engine has stated the use of a stream that was
+// asked for at a time. One that has restarted since knows nothing of before.
+func (a cancelAnswer) counts(asked time.Time) bool {
+	if a.NeverRan {
+		return time.Since(asked).Milliseconds() < a.UptimeMillis
+	}
+	return a.PromptTokens > 0 && a.AnswerTokens >= 0
 }
 
 // cancel ends the stream at the engine, so that no further tokens are used, and
@@ -287,7 +325,7 @@
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxErrorBytes)).Decode(&answer); err != nil {
 		return 0, err
 	}
-	if resp.StatusCode != http.StatusOK || answer.PromptTokens <= 0 || answer.AnswerTokens < 0 {
+	if resp.StatusCode != http.StatusOK || !answer.counts(f.asked) {
 		return 0, fmt.Errorf("cancel answered %s without a count", resp.Status)
 	}
 	return answer.PromptTokens + answer.AnswerTokens, nil
--- a/nutmegstand/engine.go
+++ b/nutmegstand/engine.go
@@ -108,6 +108,7 @@
 	waiting []*stream
 	crashes int
 	downTo  time.Time // end of the restart after a crash
+	upSince time.Time // start, or end of the latest restart
 	hushed  uint64    // connections up to this number say nothing more
 	conns   uint64
 	stepped chan struct{} // closed at each step
@@ -131,6 +132,7 @@
 		stepped: make(chan struct{}),
 		cache:   newPrefixCache(cfg.CacheBlocks),
 		models:  newModelState(cfg.Models),
+		upSince: time.Now(),
 	}
 	go e.loop()
 	return e
@@ -284,6 +286,7 @@
 	e.crashes++
 	now := time.Now()
 	e.downTo = now.Add(e.cfg.RestartTime)
+	e.upSince = e.downTo
 	for _, s := range slices.Concat(e.running, e.waiting) {
 		s.run.Crashed = true
 		s.end(now)
--- a/nutmegstand/engine_http.go
+++ b/nutmegstand/engine_http.go
@@ -56,6 +56,7 @@
 		Request:   r.Header.Get("X-Request-Id"),
 		Workspace: r.Header.Get("X-Workspace"),
 		Body:      string(body),
+		Stream:    r.Header.Get("X-Stream-Id"),
 	}
 	if err := json.Unmarshal(body, &call.ChatRequest); err != nil {
 		http.Error(w, "the body is no chat request", http.StatusBadRequest)
@@ -64,6 +65,10 @@
 	if priority, err := strconv.Atoi(r.Header.Get("X-Priority")); err == nil {
 		call.Priority = priority
 	}
+	if e.taken(call.Stream) {
+		http.Error(w, "a stream of this name exists; resume it", http.StatusConflict)
+		return
+	}
 	s, ok := e.accept(call)
 	if !ok {
 		w.Header().Set("X-Not-Run", "1")
@@ -224,13 +229,26 @@
 	e.send(w, r, s, offset)
 }
 
+// cancelAnswer is a cancelled stream's use.
+type cancelAnswer struct {
+	EngineRun
+	NeverRan     bool  `json:"never_ran"` // the name was unknown and is refused from now on
+	UptimeMillis int64 `json:"uptime_ms"` // since the engine's last restart
+}
+
+// cancel ends a stream. An unknown name is taken, so that a chat under it that
+// arrives later does not run.
 func (e *Engine) cancel(w http.ResponseWriter, r *http.Request) {
+	name := chi.URLParam(r, "stream")
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	s, ok := e.streams[chi.URLParam(r, "stream")]
+	answer := cancelAnswer{UptimeMillis: time.Since(e.upSince).Milliseconds()}
+	s, ok := e.streams[name]
 	if !ok {
-		http.Error(w, "no such stream", http.StatusNotFound)
-		return
+		s = newStream(EngineCall{Stream: name})
+		s.run.PromptTokens, s.run.Cancelled = 0, true
+		s.end(time.Now())
+		e.streams[name] = s
 	}
 	if !s.ended() {
 		s.run.Cancelled = true
@@ -239,7 +257,9 @@
 		e.waiting = slices.DeleteFunc(e.waiting, (*stream).ended)
 		e.signal()
 	}
-	writeJSON(w, s.run)
+	answer.EngineRun = s.run
+	answer.NeverRan = s.run.PromptTokens == 0
+	writeJSON(w, answer)
 }
 
 func (e *Engine) putFaults(w http.ResponseWriter, r *http.Request) {
--- a/nutmegstand/engine_stream.go
+++ b/nutmegstand/engine_stream.go
@@ -1,6 +1,7 @@
 package nutmegstand
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
@@ -28,6 +29,7 @@
 	Workspace string
 	Priority  int // lower goes first
 	Body      string
+	Stream    string // name that the caller gives the stream; made when empty
 }
 
 // Ticket follows one request at an engine.
@@ -84,6 +86,14 @@
 	return s, true
 }
 
+// taken reports whether a stream of the name exists.
+func (e *Engine) taken(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, ok := e.streams[name]
+	return ok
+}
+
 func newStream(call EngineCall) *stream {
 	maxTokens := call.MaxTokens
 	if maxTokens <= 0 {
@@ -92,7 +102,7 @@
 	sum := sha256.Sum256(call.Messages)
 	s := &stream{
 		run: EngineRun{
-			Stream:       uuid.NewString(),
+			Stream:       cmp.Or(call.Stream, uuid.NewString()),
 			Request:      call.Request,
 			Workspace:    call.Workspace,
 			Priority:     call.Priority,
