Compare bills and refusals in one place each in the tests

Cause: duplicates listed the same comparison twice in the ledger's tests and in those of answers and limits. Behind it the checks are the same: kind and run of a refusal; requests and tokens of all bills (one test checked requests only, now tokens too).

--- a/nutmegledger/ledger_test.go
+++ b/nutmegledger/ledger_test.go
@@ -63,17 +63,21 @@
 	})
 }
 
-func billed(t *testing.T, client *nutmegstore.Client) (requests int, tokens nutmegid.Tokens) {
+// checkBilled compares the bills of all owners with the wanted sums.
+func checkBilled(t *testing.T, client *nutmegstore.Client, requests int, tokens nutmegid.Tokens) {
 	t.Helper()
 	bills, err := Fold(t.Context(), client)
 	if err != nil {
 		t.Fatal(err)
 	}
+	want, got := Bill{Requests: requests, Tokens: tokens}, Bill{}
 	for _, b := range bills.Owners {
-		requests += b.Requests
-		tokens += b.Tokens
+		got.Requests += b.Requests
+		got.Tokens += b.Tokens
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("bills of all owners (-want +got):\n%s", diff)
 	}
-	return requests, tokens
 }
 
 func TestLinesOfADeadWriterAreAdoptedAndBilledOnce(t *testing.T) {
@@ -103,10 +107,7 @@
 	if err := adopter.Stop(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	requests, tokens := billed(t, client)
-	if diff := cmp.Diff([]int{9, 90}, []int{requests, int(tokens)}); diff != "" {
-		t.Errorf("requests and tokens (-want +got):\n%s", diff)
-	}
+	checkBilled(t, client, 9, 90)
 }
 
 func TestConfirmedLinesLeaveThePeer(t *testing.T) {
@@ -138,9 +139,7 @@
 	if err := w.Stop(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	if requests, _ := billed(t, client); requests != 1 {
-		t.Errorf("billed %d requests; want 1", requests)
-	}
+	checkBilled(t, client, 1, 10)
 }
 
 // blind is an API whose reads fail while it is blind.
@@ -172,10 +171,7 @@
 	if err := w.Stop(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	requests, tokens := billed(t, client)
-	if diff := cmp.Diff([]int{2, 20}, []int{requests, int(tokens)}); diff != "" {
-		t.Errorf("requests and tokens (-want +got):\n%s", diff)
-	}
+	checkBilled(t, client, 2, 20)
 }
 
 func TestExactLineWinsOverBound(t *testing.T) {
--- a/nutmegtrace/answers_test.go
+++ b/nutmegtrace/answers_test.go
@@ -332,19 +332,25 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = resp.Body.Close() }()
-			var result Result
-			if err := readRefusal(resp.Body, &result); err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(Result{Kind: tt.want, Run: "no"}, result); diff != "" {
-				t.Errorf("refusal (-want +got):\n%s", diff)
-			}
+			checkRefusal(t, resp, tt.want)
 		})
 	}
 	f.checkBilledOnce(t)
 }
 
+// checkRefusal compares an answer with a refusal that says "not run", and closes it.
+func checkRefusal(t *testing.T, resp *http.Response, kind string) {
+	t.Helper()
+	defer func() { _ = resp.Body.Close() }()
+	var result Result
+	if err := readRefusal(resp.Body, &result); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(Result{Kind: kind, Run: "no"}, result); diff != "" {
+		t.Errorf("refusal (-want +got):\n%s", diff)
+	}
+}
+
 // wholeText sends a chat without streaming and returns its text.
 func (c *caller) wholeText(t *testing.T, node int, key string, body []byte) (string, int) {
 	t.Helper()
--- a/nutmegtrace/limits_test.go
+++ b/nutmegtrace/limits_test.go
@@ -8,8 +8,6 @@
 	"strings"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 )
 
@@ -70,14 +68,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			defer func() { _ = resp.Body.Close() }()
-			var result Result
-			if err := readRefusal(resp.Body, &result); err != nil {
-				t.Fatal(err)
-			}
-			if diff := cmp.Diff(Result{Kind: tt.want, Run: "no"}, result); diff != "" {
-				t.Errorf("refusal (-want +got):\n%s", diff)
-			}
+			checkRefusal(t, resp, tt.want)
 		})
 	}
 	f.checkNothingRan(t)
