Start the weight store and tune the engine from nutmegstand's command line

Cause: the weight store and the engine's cache, prefill, report lag and fencing could be used from Go only. Before: unknown stand-in; after: all four run as processes.

--- a/cmd/nutmegstand/main.go
+++ b/cmd/nutmegstand/main.go
@@ -22,10 +22,10 @@
 )
 
 const help = `NAME
-    nutmegstand - stand-in of the platform, a model engine or a plain service
+    nutmegstand - stand-in of the platform, an engine, a service or a weight store
 
 SYNOPSIS
-    nutmegstand [OPTIONS] platform|engine|service
+    nutmegstand [OPTIONS] platform|engine|service|weights
 
 DESCRIPTION
     Serves one stand-in over HTTP until SIGTERM or SIGINT. PUT /faults switches
@@ -36,6 +36,11 @@
     -listen ADDR        address, ip:port (default 127.0.0.1:0)
     -name NAME          name of the engine or service
     -token-time TIME    time of one engine step, for example 2ms
+    -prefill-time TIME  further time of a step for each prompt token
+    -cache N            prefix blocks that an engine's cache holds
+    -report-lag TIME    age of an engine's load reports
+    -fencing            an engine refuses orders with an old fencing number
+    -bytes N            bytes a second that the weight store sends
     -writes N           writes a second that the platform takes; 0: no limit
     -reads N            reads a second that the platform takes; 0: no limit
     -version            print the version and exit
@@ -58,8 +63,15 @@
 	tokenTime time.Duration
 	writes    float64
 	reads     float64
+	prefill   time.Duration
+	cache     int
+	reportLag time.Duration
+	fencing   bool
+	bytes     int64
 }
 
+const defaultWeightBytes = 1 << 30 // a second
+
 const readHeaderTimeout = 10 * time.Second
 
 func main() {
@@ -71,6 +83,11 @@
 			f.StringVar(&o.listen, "listen", "127.0.0.1:0", "address")
 			f.StringVar(&o.name, "name", "stand-in", "name")
 			f.DurationVar(&o.tokenTime, "token-time", nutmegstand.DefaultTokenTime, "time of one engine step")
+			f.DurationVar(&o.prefill, "prefill-time", 0, "time of a prompt token")
+			f.IntVar(&o.cache, "cache", 0, "prefix blocks of the cache")
+			f.DurationVar(&o.reportLag, "report-lag", 0, "age of load reports")
+			f.BoolVar(&o.fencing, "fencing", false, "refuse old fencing numbers")
+			f.Int64Var(&o.bytes, "bytes", defaultWeightBytes, "bytes a second")
 			f.Float64Var(&o.writes, "writes", 0, "writes a second")
 			f.Float64Var(&o.reads, "reads", 0, "reads a second")
 		},
@@ -82,7 +99,7 @@
 
 func run(ctx context.Context, o options, args []string, out io.Writer) error {
 	if len(args) != 1 {
-		return cli.Usagef("name one stand-in: platform, engine or service")
+		return cli.Usagef("name one stand-in: platform, engine, service or weights")
 	}
 	handler, stop, err := build(o, args[0])
 	if err != nil {
@@ -109,6 +126,7 @@
 	"platform": nutmegtime.KindObjectCall,
 	"engine":   nutmegtime.KindEngineCall,
 	"service":  nutmegtime.KindServiceCall,
+	"weights":  nutmegtime.KindServiceCall,
 }
 
 func build(o options, kind string) (http.Handler, func(), error) {
@@ -117,10 +135,15 @@
 		p := nutmegstand.NewPlatform(nutmegstand.PlatformConfig{WritesPerSecond: o.writes, ReadsPerSecond: o.reads})
 		return p.Handler(), func() {}, nil
 	case "engine":
-		e := nutmegstand.NewEngine(nutmegstand.EngineConfig{Name: o.name, TokenTime: o.tokenTime})
+		e := nutmegstand.NewEngine(nutmegstand.EngineConfig{
+			Name: o.name, TokenTime: o.tokenTime, PrefillTime: o.prefill, CacheBlocks: o.cache,
+			ReportLag: o.reportLag, Fencing: o.fencing,
+		})
 		return e.Handler(), e.Close, nil
+	case "weights":
+		return nutmegstand.NewWeights(nutmegstand.WeightsConfig{BytesPerSecond: o.bytes}).Handler(), func() {}, nil
 	case "service":
 		return nutmegstand.NewService(nutmegstand.ServiceConfig{Name: o.name}).Handler(), func() {}, nil
 	}
-	return nil, nil, cli.Usagef("stand-in %q is unknown; use platform, engine or service", kind)
+	return nil, nil, cli.Usagef("stand-in %q is unknown; use platform, engine, service or weights", kind)
 }
