--- a/nutmegtrace/answers_test.go
+++ b/nutmegtrace/answers_test.go
@@ -332,18 +332,18 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			checkRefusal(t, resp, tt.want)
+			defer func() { _ = resp.Body.Close() }()
+			checkRefusal(t, resp.Body, tt.want)
 		})
 	}
 	f.checkBilledOnce(t)
 }
 
-// checkRefusal compares an answer with a refusal that says "not run", and closes it.
-func checkRefusal(t *testing.T, resp *http.Response, kind string) {
+// checkRefusal compares an answer's body with a refusal that says "not run".
+func checkRefusal(t *testing.T, body io.Reader, kind string) {
 	t.Helper()
-	defer func() { _ = resp.Body.Close() }()
 	var result Result
-	if err := readRefusal(resp.Body, &result); err != nil {
+	if err := readRefusal(body, &result); err != nil {
 		t.Fatal(err)
 	}
 	if diff := cmp.Diff(Result{Kind: kind, Run: "no"}, result); diff != "" {
--- a/nutmegtrace/limits_test.go
+++ b/nutmegtrace/limits_test.go
@@ -68,7 +68,8 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			checkRefusal(t, resp, tt.want)
+			defer func() { _ = resp.Body.Close() }()
+			checkRefusal(t, resp.Body, tt.want)
 		})
 	}
 	f.checkNothingRan(t)
