Bill a keyed chat once when its first try was cut

Cause: a failed chat deleted its key's record, so the next try under the key was another request with a line of its own, and its owner paid for both.

Ruled out: billing whole answers only (a cut answer without a second try would go unbilled although it was read).

--- a/nutmegnode/chat_keys.go
+++ b/nutmegnode/chat_keys.go
@@ -25,7 +25,9 @@
 // chatKeyKind is the object kind of chats with idempotency keys.
 const chatKeyKind = "chat_key"
 
-// chatKeyRecord is the body of a chat key object.
+// chatKeyRecord is the body of a chat key object. It has no claimant after its
+// chat has failed: the next try under the key keeps the request's id, so that
+// the request is billed once.
 type chatKeyRecord struct {
 	Claimant  nutmegid.Incarnation `json:"claimant"`
 	Request   nutmegid.RequestID   `json:"request"`
@@ -109,8 +111,11 @@
 // isGone reports whether a chat's claimant seems to have ended. It decides on
 // waiting only: budgets hold also where it is wrong.
 func (n *Node) isGone(record chatKeyRecord) bool {
-	if record.Claimant == n.incarnation {
+	switch record.Claimant {
+	case n.incarnation:
 		return false
+	case "":
+		return true
 	}
 	for _, m := range n.peers.Members() {
 		if m.Incarnation == record.Claimant {
@@ -122,9 +127,10 @@
 
 // chatKeyNote records in the store what became of a chat with a key.
 type chatKeyNote struct {
-	node  *Node
-	key   nutmegstore.Key
-	place nutmegroute.Place // without a stream when the chat has failed
+	node    *Node
+	key     nutmegstore.Key
+	request nutmegid.RequestID
+	place   nutmegroute.Place // without a stream when the chat has failed
 }
 
 func (c *chatKeyNote) run(ctx context.Context) {
@@ -138,18 +144,14 @@
 
 // write puts the place down, or frees the key of a failed chat for a new try.
 func (c *chatKeyNote) write(ctx context.Context) error {
-	if c.place.Stream == "" {
-		doc, err := nutmegstore.Read[chatKeyRecord](ctx, c.node.writer, c.key)
-		if err != nil || doc.Body.Claimant != c.node.incarnation {
-			return err
-		}
-		return c.node.client.Delete(ctx, c.key, doc.Version)
-	}
 	_, err := nutmegstore.Update(ctx, c.node.writer, c.key, func(r *chatKeyRecord) error {
-		if r.Claimant != c.node.incarnation || r.Request != c.place.Request {
+		if r.Claimant != c.node.incarnation || r.Request != c.request {
 			return nutmegstore.ErrUnchanged
 		}
 		r.Place = c.place
+		if c.place.Stream == "" {
+			r.Claimant = ""
+		}
 		return nil
 	})
 	return err
@@ -161,7 +163,7 @@
 		return
 	}
 	n.running.Add(1)
-	go (&chatKeyNote{node: n, key: chatKeyObject(a.key), place: place}).run(context.Background())
+	go (&chatKeyNote{node: n, key: chatKeyObject(a.key), request: a.request, place: place}).run(context.Background())
 }
 
 // sweepLoop deletes old records of moved streams and chat keys, a small part at
--- /dev/null
+++ b/nutmegtrace/keyed_test.go
@@ -0,0 +1,55 @@
+package nutmegtrace
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// TestKeyedChatThatWasCutIsBilledOnce lets another request crash the engine in
+// the middle of a keyed chat, and sends the chat again under its key through
+// another instance. The bill has one line of the chat, the whole answer's.
+func TestKeyedChatThatWasCutIsBilledOnce(t *testing.T) {
+	f := crashingFleet(t, FleetConfig{Instances: 2, Engines: 1, TokenTime: 5 * time.Millisecond})
+	chat := Chat{Workspace: "other", Prompt: "cut list", MaxTokens: 60}
+	c := &caller{fleet: f, workspace: "other"}
+	ended := make(chan int, 1)
+	go func() {
+		_, status := c.wholeText(t, 0, "list-1", chatBody(t, chat, false))
+		ended <- status
+	}()
+	waitFor(t, "the chat has events", func() bool {
+		runs := f.runs()
+		return len(runs) > 0 && runs[0].AnswerTokens > 2
+	})
+	_, _ = f.Chat(testContext(t), 0, crashingChat)
+	if status := <-ended; status == http.StatusOK {
+		t.Fatal("the chat was answered although its engine crashed")
+	}
+	text := ""
+	waitFor(t, "the chat is answered under its key", func() bool {
+		var status int
+		text, status = c.wholeText(t, 1, "list-1", chatBody(t, chat, false))
+		return status == http.StatusOK
+	})
+	if diff := cmp.Diff(chat.WantText(), text); diff != "" {
+		t.Errorf("answer (-want +got):\n%s", diff)
+	}
+	var last nutmegid.Tokens
+	for _, run := range f.runs() {
+		if run.Workspace == "other" && run.Ended {
+			last = nutmegid.Tokens(run.PromptTokens + run.AnswerTokens)
+		}
+	}
+	waitFor(t, "the whole answer is billed", func() bool {
+		bills, err := f.Bills(testContext(t))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return bills.Owners["kaca"] != nil && bills.Owners["kaca"].Workspaces["other"] == last
+	})
+}
