Keep a request's id through failed tries only where one may have run

In short_partition three requests were refused as not run, tried again under their keys and ran: one id was both, 'not_run_but_ran is 3'. A key whose tries all did not run is freed as before; where one may have run, a later refusal says so too, also after taking over a chat whose claimant is gone.

Before: TestShortTraces fails; without the raising, the new check in TestKeyedChatThatWasCutIsBilledOnce sees a refusal 'not run' of a request that ran. After: both pass 2 of 2 with -race.

Conclusion: the trace showed a real fault of the change; no check was eased.

--- a/nutmegnode/chat.go
+++ b/nutmegnode/chat.go
@@ -93,7 +93,7 @@
 		return
 	}
 	chat.Request = record.Request
-	go (&chatRun{node: n, caller: r.caller, chat: chat, answer: a}).run(ctx)
+	go (&chatRun{node: n, caller: r.caller, chat: chat, answer: a, before: record.Ran}).run(ctx)
 }
 
 // deliver writes an answer from an offset to one caller.
@@ -122,6 +122,7 @@
 	caller       nutmegconf.Caller
 	chat         nutmegroute.Chat
 	answer       *answer
+	before       nutmegroute.Ran // of earlier tries under the chat's key
 	reservations []nutmegbudget.Reservation
 }
 
@@ -137,8 +138,11 @@
 		use, err = c.node.sender.Chat(ctx, c.chat, c.answer.log.Append)
 		c.settle(use, err)
 	}
+	if err != nil && c.before.Worse(nutmegroute.RanNo) != nutmegroute.RanNo {
+		err = afterTries(err, c.before)
+	}
 	if err != nil && !errors.Is(context.Cause(ctx), errAbandoned) {
-		c.node.noteChat(c.answer, nutmegroute.Place{})
+		c.node.noteFailure(c.answer, err)
 	}
 	c.ended(err)
 	c.answer.log.Finish(err)
@@ -158,7 +162,7 @@
 func (c *chatRun) started(place nutmegroute.Place) {
 	c.answer.log.SetPlace(place)
 	c.node.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindSend, Request: c.chat.Request, Upstream: place.Upstream, Detail: place.Stream})
-	c.node.noteChat(c.answer, place)
+	c.node.noteStream(c.answer, place)
 }
 
 // reserve takes the bound of one attempt from both budgets.
--- a/nutmegnode/chat_keys.go
+++ b/nutmegnode/chat_keys.go
@@ -26,13 +26,14 @@
 const chatKeyKind = "chat_key"
 
 // chatKeyRecord is the body of a chat key object. It has no claimant after its
-// chat has failed: the next try under the key keeps the request's id, so that
-// the request is billed once.
+// chat has failed and may have run: the next try under the key keeps the
+// request's id, so that the request is billed once.
 type chatKeyRecord struct {
 	Claimant  nutmegid.Incarnation `json:"claimant"`
 	Request   nutmegid.RequestID   `json:"request"`
 	BodyHash  string               `json:"body_hash"`
 	Place     nutmegroute.Place    `json:"place"` // without a stream before it started
+	Ran       nutmegroute.Ran      `json:"ran"`   // of all tries that have ended
 	CreatedAt time.Time            `json:"created_at"`
 }
 
@@ -102,6 +103,10 @@
 		if r.Claimant != seen.Claimant || r.Place.Stream != "" {
 			return nutmegstore.ErrUnchanged
 		}
+		if r.Claimant != "" {
+			// A claimant that is gone may have sent the chat without noting it.
+			r.Ran = r.Ran.Worse(nutmegroute.RanUnknown)
+		}
 		r.Claimant = n.incarnation
 		return nil
 	})
@@ -131,6 +136,7 @@
 	key     nutmegstore.Key
 	request nutmegid.RequestID
 	place   nutmegroute.Place // without a stream when the chat has failed
+	ran     nutmegroute.Ran   // of a chat that has failed
 }
 
 func (c *chatKeyNote) run(ctx context.Context) {
@@ -144,26 +150,63 @@
 
 // write puts the place down, or frees the key of a failed chat for a new try.
 func (c *chatKeyNote) write(ctx context.Context) error {
+	if c.ran == nutmegroute.RanNo {
+		return c.remove(ctx)
+	}
 	_, err := nutmegstore.Update(ctx, c.node.writer, c.key, func(r *chatKeyRecord) error {
-		if r.Claimant != c.node.incarnation || r.Request != c.request {
+		if !c.owns(*r) {
 			return nutmegstore.ErrUnchanged
 		}
 		r.Place = c.place
 		if c.place.Stream == "" {
 			r.Claimant = ""
+			r.Ran = r.Ran.Worse(c.ran)
 		}
 		return nil
 	})
 	return err
 }
 
-// noteChat writes a note beside the chat, so that nobody waits for the store.
-func (n *Node) noteChat(a *answer, place nutmegroute.Place) {
+// remove deletes the record of a chat of which no try ran: the next one is
+// another request.
+func (c *chatKeyNote) remove(ctx context.Context) error {
+	doc, err := nutmegstore.Read[chatKeyRecord](ctx, c.node.writer, c.key)
+	if err != nil || !c.owns(doc.Body) {
+		return err
+	}
+	return c.node.client.Delete(ctx, c.key, doc.Version)
+}
+
+func (c *chatKeyNote) owns(r chatKeyRecord) bool {
+	return r.Claimant == c.node.incarnation && r.Request == c.request
+}
+
+// noteStream notes where a keyed chat's answer comes from.
+func (n *Node) noteStream(a *answer, place nutmegroute.Place) {
+	n.note(a, &chatKeyNote{node: n, place: place})
+}
+
+// noteFailure frees the key of a chat that has failed.
+func (n *Node) noteFailure(a *answer, err error) {
+	n.note(a, &chatKeyNote{node: n, ran: apiError(err).Run})
+}
+
+// note writes beside the chat, so that nobody waits for the store.
+func (n *Node) note(a *answer, note *chatKeyNote) {
 	if a.scope != scopeFleet {
 		return
 	}
+	note.key, note.request = chatKeyObject(a.key), a.request
 	n.running.Add(1)
-	go (&chatKeyNote{node: n, key: chatKeyObject(a.key), request: a.request, place: place}).run(context.Background())
+	go note.run(context.Background())
+}
+
+// afterTries returns a refusal with what all tries under the key say about
+// running.
+func afterTries(err error, before nutmegroute.Ran) error {
+	refused := *apiError(err)
+	refused.Run = before.Worse(refused.Run)
+	return &refused
 }
 
 // sweepLoop deletes old records of moved streams and chat keys, a small part at
--- a/nutmegroute/call.go
+++ b/nutmegroute/call.go
@@ -85,7 +85,7 @@
 			break
 		}
 		answer, err = r.attempt(ctx)
-		r.ran = r.ran.worse(ranOfCall(answer, err))
+		r.ran = r.ran.Worse(ranOfCall(answer, err))
 		if !r.mayRepeat(ctx, answer, err) {
 			break
 		}
--- a/nutmegroute/chat.go
+++ b/nutmegroute/chat.go
@@ -89,7 +89,7 @@
 		}
 		err = r.attempt(ctx)
 		if err != nil {
-			r.ran = r.ran.worse(RanOf(err))
+			r.ran = r.ran.Worse(RanOf(err))
 		}
 		if err == nil || !r.mayRepeat(ctx, err) {
 			break
--- a/nutmegroute/errors.go
+++ b/nutmegroute/errors.go
@@ -101,9 +101,9 @@
 // ranOrder ranks what is known of several attempts together.
 var ranOrder = map[Ran]int{RanNo: 0, RanUnknown: 1, RanYes: 2}
 
-// worse returns what is known after two attempts.
-func (r Ran) worse(other Ran) Ran {
-	if ranOrder[other] > ranOrder[r] {
+// Worse returns what is known after two attempts. The empty value stands for none.
+func (r Ran) Worse(other Ran) Ran {
+	if r == "" || ranOrder[other] > ranOrder[r] {
 		return other
 	}
 	return r
@@ -112,7 +112,7 @@
 // withRan returns err with what all attempts together say about running.
 func withRan(err error, ran Ran) error {
 	var e *Error
-	if !errors.As(err, &e) || e.Ran.worse(ran) == e.Ran {
+	if !errors.As(err, &e) || e.Ran.Worse(ran) == e.Ran {
 		return err
 	}
 	raised := *e
--- a/nutmegtrace/keyed_test.go
+++ b/nutmegtrace/keyed_test.go
@@ -8,6 +8,8 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegroute"
+	"github.com/nutmegwind/nutmegwind/nutmegstand"
 )
 
 // TestKeyedChatThatWasCutIsBilledOnce lets another request crash the engine in
@@ -30,6 +32,7 @@
 	if status := <-ended; status == http.StatusOK {
 		t.Fatal("the chat was answered although its engine crashed")
 	}
+	f.checkRefusedAfterRun(t, c, chat)
 	text := ""
 	waitFor(t, "the chat is answered under its key", func() bool {
 		var status int
@@ -53,3 +56,26 @@
 		return bills.Owners["kaca"] != nil && bills.Owners["kaca"].Workspaces["other"] == last
 	})
 }
+
+// checkRefusedAfterRun sends a chat whose first try ran again while no engine
+// takes work: the refusal must not say that the request did not run.
+func (f *Fleet) checkRefusedAfterRun(t *testing.T, c *caller, chat Chat) {
+	t.Helper()
+	f.Engines[0].SetFaults(nutmegstand.EngineFaults{Refuse: true})
+	defer f.Engines[0].SetFaults(nutmegstand.EngineFaults{})
+	waitFor(t, "the chat is refused by the engine", func() bool {
+		resp, err := c.open(testContext(t), 1, http.MethodPost, "/v1/chat/completions", http.Header{"Idempotency-Key": {"list-1"}}, chatBody(t, chat, false))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer func() { _ = resp.Body.Close() }()
+		var refused Result
+		if err := readRefusal(resp.Body, &refused); err != nil {
+			t.Fatal(err)
+		}
+		if refused.Run == nutmegroute.RanNo {
+			t.Errorf("refusal %q says that the request did not run", refused.Kind)
+		}
+		return refused.Kind == string(nutmegroute.KindRefused)
+	})
+}
