--- /dev/null
+++ b/cmd/nutmegwind/entry.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
+	"github.com/nutmegwind/nutmegwind/internal/instance/nutmegentry"
+	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegjournal"
+	"github.com/nutmegwind/nutmegwind/nutmegconf"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+	"github.com/nutmegwind/nutmegwind/platform"
+)
+
+const (
+	// memoryShare is the share of an instance's memory at which the garbage
+	// collector works hard to stay below.
+	memoryShare = 0.6
+	// logFlushTime bounds the writing of the last log lines.
+	logFlushTime = 200 * time.Millisecond
+)
+
+// runEntry serves on the users' platform until ctx ends.
+func runEntry(ctx context.Context, file string) error {
+	settings, err := nutmegconf.LoadEntrySettings(file)
+	if err != nil {
+		return &cli.UsageError{Detail: err.Error()}
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(settings.Limits.MemoryMB) * (1 << 20)))
+	lines := nutmegjournal.NewWriter(nutmegjournal.WriterConfig{Out: os.Stdout})
+	lines.Start()
+	defer lines.Stop(logFlushTime)
+	entry, err := nutmegentry.New(nutmegentry.Config{
+		Settings: settings,
+		Platform: onPlatform(),
+		Log:      nutmegjournal.NewLogger(lines, settings.Log.Level),
+	})
+	if err != nil {
+		return err
+	}
+	if err := entry.Start(); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return entry.Stop(context.WithoutCancel(ctx))
+}
+
+// onPlatform speaks to the users' platform.
+func onPlatform() nutmegentry.Platform {
+	return nutmegentry.Platform{
+		Dialect:        nutmegplatform.Objects{},
+		Door:           nutmegplatform.Door{},
+		Wire:           nutmegplatform.Wire{},
+		ConfigKey:      nutmegstore.Key{Kind: nutmegplatform.KindConfig, Name: nutmegplatform.ConfigName},
+		UpstreamKind:   nutmegplatform.KindUpstreams,
+		DecodeConfig:   nutmegplatform.DecodeConfig,
+		DecodeUpstream: nutmegplatform.DecodeUpstream,
+	}
+}
--- a/cmd/nutmegwind/main.go
+++ b/cmd/nutmegwind/main.go
@@ -3,6 +3,9 @@
 // # Usage
 //
 //	nutmegwind -config instance.toml
+//
+// On the users' platform it runs without options: the platform names the
+// settings file.
 package main
 
 import (
@@ -18,6 +21,7 @@
 	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegnode"
+	"github.com/nutmegwind/nutmegwind/platform"
 )
 
 const help = `NAME
@@ -25,6 +29,7 @@
 
 SYNOPSIS
     nutmegwind -config FILE
+    nutmegwind
 
 DESCRIPTION
     Takes callers' requests, reserves their tokens from leases on prepaid
@@ -32,6 +37,11 @@
     nothing on disk. SIGTERM or SIGINT stops it gracefully: it takes no new
     work, ends what runs, returns its leases and writes the ledger.
 
+    Without options it runs on the users' platform, with the settings that the
+    platform has filled in from deploy/entry.toml. It then follows the
+    configuration and the upstreams that lie in the platform's store, and
+    writes its log to standard output, a JSON object a line.
+
 OPTIONS
     -config FILE   settings in TOML; see docs/operate/settings.md
     -version       print the version and exit
@@ -66,6 +76,9 @@
 }
 
 func run(ctx context.Context, o options, args []string, out io.Writer) error {
+	if file, ok := nutmegplatform.SettingsFile(); ok && o.config == "" && len(args) == 0 {
+		return runEntry(ctx, file)
+	}
 	if o.config == "" || len(args) > 0 {
 		return cli.Usagef("give the settings file with -config and nothing else")
 	}
--- /dev/null
+++ b/internal/budget/nutmegmeter/meter.go
@@ -0,0 +1,130 @@
+// Package nutmegmeter keeps workspaces within their prepaid totals: it joins
+// the leases of nutmegbudget with the configured amounts.
+//
+// # Usage
+//
+//	meter := nutmegmeter.New(nutmegmeter.Config{Writer: writer, View: view, Incarnation: inc, Instance: name})
+//	meter.Start()
+//	reservation, refusal := meter.Reserve(ctx, workspace, 1540)
+//	reservation.Settle(1212)
+//	err := meter.Stop(ctx) // returns the leases
+package nutmegmeter
+
+import (
+	"context"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
+)
+
+const (
+	// DefaultHorizon is the span of spend that a lease covers: longer than an
+	// instance is usually cut off from the store.
+	DefaultHorizon = 14 * time.Second
+	// DefaultMinLease is the smallest lease that is asked for, in tokens.
+	DefaultMinLease = 30_000
+
+	rateWeight     = 0.3 // of the newest commit interval
+	acquireTimeout = 300 * time.Millisecond
+	commitTimeout  = 1500 * time.Millisecond
+	retryAfter     = 400 * time.Millisecond
+)
+
+// Config configures a meter.
+type Config struct {
+	Writer      *nutmegstore.Writer
+	StoreUp     func() bool
+	View        *nutmegview.View
+	Incarnation nutmegid.Incarnation
+	Instance    nutmegid.Instance
+	Horizon     time.Duration                  // DefaultHorizon when zero
+	MinLease    nutmegid.Tokens                // DefaultMinLease when zero
+	OnCommit    func(c nutmegbudget.Committed) // nil for none
+}
+
+// Meter reserves and settles the tokens of workspaces.
+type Meter struct {
+	cfg    Config
+	holder *nutmegbudget.Holder
+}
+
+// New returns a meter without leases.
+func New(cfg Config) *Meter {
+	if cfg.Horizon == 0 {
+		cfg.Horizon = DefaultHorizon
+	}
+	if cfg.MinLease == 0 {
+		cfg.MinLease = DefaultMinLease
+	}
+	m := &Meter{cfg: cfg}
+	m.holder = nutmegbudget.NewHolder(nutmegbudget.HolderConfig{
+		Writer:         cfg.Writer,
+		Incarnation:    cfg.Incarnation,
+		Instance:       cfg.Instance,
+		Shards:         1,
+		Policy:         nutmegbudget.RateProportional{Horizon: cfg.Horizon, MinLease: cfg.MinLease},
+		RateWeight:     rateWeight,
+		CommitTimeout:  commitTimeout,
+		AcquireTimeout: acquireTimeout,
+		Prepare:        m.prepare,
+		OnCommit:       cfg.OnCommit,
+	})
+	return m
+}
+
+// prepare brings the configured amounts into a shard.
+func (m *Meter) prepare(s *nutmegbudget.Shard) {
+	c := m.cfg.View.Config()
+	if c == nil {
+		return
+	}
+	amounts := make(map[nutmegid.BudgetID]nutmegid.Tokens)
+	for name, tokens := range c.Prepaid() {
+		amounts[nutmegid.WorkspaceBudget(name)] = tokens
+	}
+	s.SetAmounts(c.Revision, amounts)
+}
+
+// Start begins the commits.
+func (m *Meter) Start() {
+	m.holder.Start()
+}
+
+// Stop settles all spend and returns the leases to the store.
+func (m *Meter) Stop(ctx context.Context) error {
+	return m.holder.Stop(ctx)
+}
+
+// Reserve implements nutmegrelay.Budget. While the store is away only what is
+// leased already can be reserved.
+func (m *Meter) Reserve(ctx context.Context, w nutmegid.Workspace, n nutmegid.Tokens) (nutmegrelay.Reservation, *nutmegcall.Refusal) {
+	id := nutmegid.WorkspaceBudget(w)
+	if r, ok := m.holder.Reserve(id, "", n); ok {
+		return r, nil
+	}
+	if !m.cfg.StoreUp() {
+		return nil, unreachable("the store is away and the lease is used up")
+	}
+	r, err := m.holder.Acquire(ctx, id, "", n)
+	switch {
+	case err == nil:
+		return r, nil
+	case nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && m.holder.Unspent(id) < n:
+		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: err.Error()}
+	}
+	return nil, unreachable(err.Error())
+}
+
+func unreachable(detail string) *nutmegcall.Refusal {
+	return &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudgetUnknown, RetryAfter: retryAfter, Detail: detail}
+}
+
+// Balances returns the local state of all budgets.
+func (m *Meter) Balances() []nutmegbudget.Balance {
+	return m.holder.Balances()
+}
--- /dev/null
+++ b/internal/instance/nutmegentry/defaults.go
@@ -0,0 +1,28 @@
+package nutmegentry
+
+import "time"
+
+const (
+	storeTimeout     = 1500 * time.Millisecond // of one call
+	storeConnections = 4
+	storeIdle        = time.Minute
+	storeShare       = 0.5 // of the fleet's rates that one instance may use alone
+
+	finishTime   = 900 * time.Millisecond  // for returning leases after the last request
+	balancerTime = 2600 * time.Millisecond // until the balancer sends nothing new
+	idlePoll     = 50 * time.Millisecond
+
+	headerTimeout   = 6 * time.Second
+	callerIdle      = 40 * time.Second
+	writeTimeout    = 40 * time.Second
+	maxHeaderBytes  = 32 << 10
+	writeSlack      = time.Second      // after a request's deadline, for its last bytes
+	defaultPatience = 30 * time.Second // of callers that state none
+	bodyMemoryShare = 0.25             // of the memory, for the bodies of requests in progress
+	noConfigRetry   = 300 * time.Millisecond
+
+	instanceKind     = "nutmegwind_instances"
+	instancesRefresh = 20 * time.Second
+	registerTimeout  = 5 * time.Second
+	registerPause    = 500 * time.Millisecond
+)
--- /dev/null
+++ b/internal/instance/nutmegentry/errors.go
@@ -0,0 +1,25 @@
+package nutmegentry
+
+import (
+	"errors"
+	"fmt"
+)
+
+// ListenError is an address that could not be opened.
+type ListenError struct {
+	Setting string
+	Address string
+	Err     error
+}
+
+// Error names the setting, the address and the cause.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("%s %q could not be opened; free the port or change the setting: %v", e.Setting, e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error {
+	return e.Err
+}
+
+var errStopped = errors.New("the instance has stopped")
--- a/nutmegnode/metrics.go
+++ b/internal/ops/nutmegexport/export.go
@@ -1,4 +1,9 @@
-package nutmegnode
+// Package nutmegexport serves a go-metrics registry in the Prometheus text format.
+//
+// # Usage
+//
+//	r.Method(http.MethodGet, "/metrics", nutmegexport.Handler(registry))
+package nutmegexport
 
 import (
 	"net/http"
@@ -10,7 +15,8 @@
 	"github.com/rcrowley/go-metrics"
 )
 
-const metricPrefix = "nutmegwind_"
+// Prefix stands before the name of each metric.
+const Prefix = "nutmegwind_"
 
 var quantiles = []float64{0.5, 0.95, 0.99}
 
@@ -26,7 +32,7 @@
 // Collect implements prometheus.Collector.
 func (c collector) Collect(out chan<- prometheus.Metric) {
 	c.registry.Each(func(name string, m any) {
-		desc := prometheus.NewDesc(metricPrefix+metricName(name), "see docs/operate/metrics.md", nil, nil)
+		desc := prometheus.NewDesc(Prefix+metricName(name), "see docs/operate/metrics.md", nil, nil)
 		switch m := m.(type) {
 		case metrics.Counter:
 			out <- prometheus.MustNewConstMetric(desc, prometheus.CounterValue, float64(m.Count()))
@@ -65,11 +71,11 @@
 	}, name)
 }
 
-// metricsHandler serves the node's metrics in the Prometheus text format.
-func (n *Node) metricsHandler() http.Handler {
+// Handler serves the registry's metrics with those of the process.
+func Handler(r metrics.Registry) http.Handler {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(
-		collector{registry: n.metrics},
+		collector{registry: r},
 		collectors.NewGoCollector(),
 		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
 	)
--- a/nutmegnode/metrics_test.go
+++ b/internal/ops/nutmegexport/export_test.go
@@ -1,4 +1,4 @@
-package nutmegnode
+package nutmegexport
 
 import (
 	"io"
@@ -13,19 +13,19 @@
 )
 
 func TestMetricsAreServedInTheFormOfCollectors(t *testing.T) {
-	n := &Node{metrics: metrics.NewRegistry()}
-	n.count("requests")
-	n.count("refused_budget-exhausted")
-	metrics.GetOrRegisterGauge("connections_callers", n.metrics).Update(3)
+	registry := metrics.NewRegistry()
+	metrics.GetOrRegisterCounter("requests", registry).Inc(1)
+	metrics.GetOrRegisterCounter("refused_budget-exhausted", registry).Inc(1)
+	metrics.GetOrRegisterGauge("connections_callers", registry).Update(3)
 	w := httptest.NewRecorder()
-	n.metricsHandler().ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
+	Handler(registry).ServeHTTP(w, httptest.NewRequestWithContext(t.Context(), http.MethodGet, "/metrics", nil))
 	body, err := io.ReadAll(w.Body)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var got []string
 	for line := range strings.Lines(string(body)) {
-		if strings.HasPrefix(line, metricPrefix) {
+		if strings.HasPrefix(line, Prefix) {
 			got = append(got, strings.TrimSpace(line))
 		}
 	}
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -32,6 +32,7 @@
 	stored  nutmegid.Tokens // acked as in the store
 
 	remaining nutmegid.Tokens // of the budget, when last seen
+	unspent   nutmegid.Tokens // of the budget, when last seen; leases included
 	grant     nutmegid.Tokens // of the latest commit with a need
 	holders   int
 	rich      []nutmegid.Incarnation
@@ -201,7 +202,7 @@
 
 // tick updates the spend rate, once per commit interval.
 func (a *account) tick(interval time.Duration) {
-	a.rate += rateWeight * (float64(a.interval)/interval.Seconds() - a.rate)
+	a.rate += a.committer.holder.cfg.RateWeight * (float64(a.interval)/interval.Seconds() - a.rate)
 	a.quiet++
 	if a.interval > 0 || a.need > 0 {
 		a.quiet = 0
@@ -247,7 +248,7 @@
 		a.unlock(a.locked())
 		a.stored = a.acked
 	}
-	a.remaining, a.holders, a.rich = s.Remaining, s.Holders, s.Rich
+	a.remaining, a.unspent, a.holders, a.rich = s.Remaining, s.Unspent, s.Holders, s.Rich
 	a.finishTransfers(e, s, r.Released)
 	a.assert()
 	return granted
--- a/nutmegbudget/batch.go
+++ b/nutmegbudget/batch.go
@@ -59,6 +59,7 @@
 	Granted   nutmegid.Tokens        `json:"granted"`
 	Taken     nutmegid.Tokens        `json:"taken,omitempty"`
 	Remaining nutmegid.Tokens        `json:"remaining"`
+	Unspent   nutmegid.Tokens        `json:"unspent,omitempty"` // leases included
 	Holders   int                    `json:"holders"`
 	Rich      []nutmegid.Incarnation `json:"rich,omitempty"`
 	Stranded  nutmegid.Tokens        `json:"stranded,omitempty"`
@@ -221,7 +222,7 @@
 	if b == nil || b.Removed {
 		return Share{}
 	}
-	share := Share{Known: true, Remaining: b.Remaining(), Holders: len(b.Leases), Rich: b.richest(inc)}
+	share := Share{Known: true, Remaining: b.Remaining(), Unspent: b.Prepaid - b.Spent, Holders: len(b.Leases), Rich: b.richest(inc)}
 	if l := b.Leases[inc]; l != nil {
 		share.Granted, share.Taken = l.Granted, l.Taken
 	}
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -258,6 +258,7 @@
 // direct writes the batch to the store.
 func (c *committer) direct(ctx context.Context, p *pendingBatch) (Result, error) {
 	doc, err := nutmegstore.Update(ctx, c.holder.cfg.Writer, c.key(), func(s *Shard) error {
+		c.holder.cfg.Prepare(s)
 		return s.Apply(p.Batch, c.holder.policyOf)
 	})
 	if err != nil {
--- a/nutmegbudget/defaults.go
+++ b/nutmegbudget/defaults.go
@@ -16,13 +16,15 @@
 	// DefaultAskTimeout bounds how long a request waits for one peer's tokens.
 	DefaultAskTimeout = 250 * time.Millisecond
 
+	// DefaultRateWeight is the weight of the newest commit interval in the spend rate.
+	DefaultRateWeight = 0.05
+
 	// DefaultSilence is how long a witness waits for a holder that is not up.
 	DefaultSilence = 10 * time.Second
 	// DefaultGatherTime is how long a keeper gathers batches for one commit.
 	DefaultGatherTime = 200 * time.Millisecond
 
 	maxTokens          = 1 << 53 // tokens; amounts stay exact in JSON numbers
-	rateWeight         = 0.05    // weight of the newest interval in the spend rate
 	idleRate           = 0.01    // tokens a second; below it an instance may be idle
 	idleTicks          = 10      // commit intervals without use that make an instance idle
 	keepFactor         = 2       // times the target that is kept before tokens return
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -53,6 +53,10 @@
 	CommitTimeout  time.Duration                    // DefaultCommitTimeout when zero
 	AcquireTimeout time.Duration                    // DefaultAcquireTimeout when zero
 	AskTimeout     time.Duration                    // DefaultAskTimeout when zero
+	RateWeight     float64                          // of the newest interval in the spend rate; DefaultRateWeight when zero
+	// Prepare brings a shard up to date before each commit, for amounts that
+	// are configured elsewhere; nil for none. It may run several times.
+	Prepare func(s *Shard)
 	// OnCommit is told of each budget's part in a written commit.
 	OnCommit func(c Committed)
 	// OnTransfer is told of tokens received from a peer.
@@ -103,6 +107,12 @@
 	if cfg.AskTimeout == 0 {
 		cfg.AskTimeout = DefaultAskTimeout
 	}
+	if cfg.RateWeight == 0 {
+		cfg.RateWeight = DefaultRateWeight
+	}
+	if cfg.Prepare == nil {
+		cfg.Prepare = func(*Shard) {}
+	}
 	if cfg.Policy == nil {
 		cfg.Policy = RateProportional{Horizon: DefaultHorizon, MinLease: DefaultMinLease}
 	}
@@ -162,20 +172,22 @@
 func (r Reservation) Settle(used nutmegid.Tokens) {
 	used = max(0, min(used, r.tokens))
 	r.workspace.settle(r.tokens, used)
-	r.owner.settle(r.tokens, used)
+	if r.owner != nil {
+		r.owner.settle(r.tokens, used)
+	}
 }
 
-// Reserve takes n tokens from the local leases on both levels, or none.
+// Reserve takes n tokens from the local leases on both levels, or none. An
+// empty owner leaves that level out.
 func (h *Holder) Reserve(workspace, owner nutmegid.BudgetID, n nutmegid.Tokens) (Reservation, bool) {
 	if n < 0 {
 		return Reservation{}, false
 	}
-	w := h.account(workspace)
-	o := h.account(owner)
+	w, o := h.account(workspace), h.ownerAccount(owner)
 	if !w.take(n) {
 		return Reservation{}, false
 	}
-	if !o.take(n) {
+	if o != nil && !o.take(n) {
 		w.give(n)
 		return Reservation{}, false
 	}
@@ -198,7 +210,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AcquireTimeout)
 	defer cancel()
-	w, o := h.account(workspace), h.account(owner)
+	w, o := h.account(workspace), h.ownerAccount(owner)
 	withStore := true
 	for round := range acquireRounds {
 		unreachable := errors.Join(h.refill(ctx, w, n, withStore), h.refill(ctx, o, n, withStore))
@@ -213,8 +225,8 @@
 		switch {
 		case ctx.Err() != nil:
 			return Reservation{}, h.shortage(workspace, owner, n)
-		case w.hopeful(n) && o.hopeful(n):
-		case round < searchRounds && w.scattered(n) && o.scattered(n):
+		case w.hopeful(n) && (o == nil || o.hopeful(n)):
+		case round < searchRounds && w.scattered(n) && (o == nil || o.scattered(n)):
 			withStore = false
 			h.pause(ctx)
 		default:
@@ -237,7 +249,7 @@
 // refill searches for tokens until the account could cover n. What is free
 // does not lower the need, as others that wait may take it.
 func (h *Holder) refill(ctx context.Context, a *account, n nutmegid.Tokens, withStore bool) error {
-	if a.lacking(n) <= 0 || a.committer.closed.Load() || a.dry(n) {
+	if a == nil || a.lacking(n) <= 0 || a.committer.closed.Load() || a.dry(n) {
 		return nil
 	}
 	// The need also keeps what is found from being given back as idle.
@@ -272,6 +284,9 @@
 
 func (h *Holder) shortage(workspace, owner nutmegid.BudgetID, n nutmegid.Tokens) error {
 	for _, id := range []nutmegid.BudgetID{workspace, owner} {
+		if id == "" {
+			continue
+		}
 		a := h.account(id)
 		if a.committer.closed.Load() {
 			return &Error{Kind: KindReleased, Budget: id, Detail: "an operator has released this instance", Remedy: "send the request to another instance"}
@@ -313,6 +328,15 @@
 	return a
 }
 
+// ownerAccount returns the account of an owner's budget, nil where that level
+// is left out.
+func (h *Holder) ownerAccount(id nutmegid.BudgetID) *account {
+	if id == "" {
+		return nil
+	}
+	return h.account(id)
+}
+
 func (h *Holder) policyOf(id nutmegid.BudgetID) Policy {
 	return h.cfg.Terms(id).Policy
 }
@@ -324,6 +348,15 @@
 	return h.byShard[shard]
 }
 
+// Unspent returns the tokens of a budget that were not known to be spent at
+// this holder's latest commit, leases of all holders included.
+func (h *Holder) Unspent(id nutmegid.BudgetID) nutmegid.Tokens {
+	a := h.account(id)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.unspent
+}
+
 // Balance is one budget's local state.
 type Balance struct {
 	Budget   nutmegid.BudgetID `json:"budget"`
--- a/nutmegbudget/shard.go
+++ b/nutmegbudget/shard.go
@@ -15,6 +15,9 @@
 	Holders map[nutmegid.Incarnation]*Record `json:"holders"`
 	// Releases counts releases; it orders released holders for pruning.
 	Releases uint64 `json:"releases,omitempty"`
+	// Amounts is the revision of the configuration that the prepaid amounts
+	// come from, 0 where they come from top-ups.
+	Amounts nutmegid.Revision `json:"amounts,omitempty"`
 	// Keeper commits for others; it is a hint, never an authority.
 	Keeper nutmegid.Incarnation `json:"keeper,omitempty"`
 }
@@ -84,6 +87,28 @@
 	return fmt.Sprintf("shard-%04d", shard)
 }
 
+// SetAmounts makes the prepaid amounts those of a configuration, unless the
+// shard has seen a newer one. An amount below what is spent and leased takes
+// effect as leases return.
+func (s *Shard) SetAmounts(revision nutmegid.Revision, amounts map[nutmegid.BudgetID]nutmegid.Tokens) {
+	if revision < s.Amounts {
+		return
+	}
+	s.Amounts = revision
+	if s.Budgets == nil {
+		s.Budgets = make(map[nutmegid.BudgetID]*Budget, len(amounts))
+	}
+	for id, amount := range amounts {
+		b := s.Budgets[id]
+		if b == nil {
+			b = &Budget{}
+			b.makeMaps()
+			s.Budgets[id] = b
+		}
+		b.Prepaid = max(amount, b.Spent+b.Leased())
+	}
+}
+
 // Remaining returns the tokens that are neither spent nor leased.
 func (b *Budget) Remaining() nutmegid.Tokens {
 	return b.Prepaid - b.Spent - b.Leased()
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -68,4 +68,9 @@
 	minPeerKeyLength = 16   // characters
 	maxBudgetShards  = 4096 // objects
 	keyHashLength    = 64   // hexadecimal digits of a SHA-256
+	maxStoreRate     = 1e6  // calls a second
+	minMemoryMB      = 32
+	maxMemoryMB      = 1 << 20
+	minDescriptors   = 256
+	maxDescriptors   = 1 << 20
 )
--- /dev/null
+++ b/nutmegconf/entry_settings.go
@@ -0,0 +1,127 @@
+package nutmegconf
+
+import (
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// EntrySettings is what an entry instance on a managed platform reads at
+// start. The platform fills them in from a template.
+type EntrySettings struct {
+	Instance EntryInstanceSettings `toml:"instance"`
+	Listen   EntryListenSettings   `toml:"listen"`
+	Store    EntryStoreSettings    `toml:"store"`
+	Retries  EntryRetrySettings    `toml:"retries"`
+	Limits   EntryLimitSettings    `toml:"limits"`
+	Budget   EntryBudgetSettings   `toml:"budget"`
+	Log      LogSettings           `toml:"log"`
+}
+
+// EntryInstanceSettings name the instance and where it runs.
+type EntryInstanceSettings struct {
+	Name          nutmegid.Instance      `toml:"name"`
+	FailureDomain nutmegid.FailureDomain `toml:"failure_domain"`
+	Region        string                 `toml:"region"`
+}
+
+// EntryListenSettings are the addresses of the instance, "ip:port".
+type EntryListenSettings struct {
+	Callers   string `toml:"callers"`
+	Readiness string `toml:"readiness"`
+	Peers     string `toml:"peers"`
+	Metrics   string `toml:"metrics"`
+}
+
+// EntryStoreSettings locate the platform's store and its rates for the whole fleet.
+type EntryStoreSettings struct {
+	Address         string  `toml:"address"`
+	WritesPerSecond float64 `toml:"writes_per_second"`
+	ReadsPerSecond  float64 `toml:"reads_per_second"`
+}
+
+// EntryRetrySettings bound how often the fleet sends requests again.
+type EntryRetrySettings struct {
+	Ratio  float64  `toml:"ratio"`  // repeats for each request to a service
+	Extra  float64  `toml:"extra"`  // repeats in a window beyond the ratio
+	Window Duration `toml:"window"` // any span of this length counts
+}
+
+// EntryLimitSettings bound what the process may use and how long it may stop.
+type EntryLimitSettings struct {
+	MemoryMB        int      `toml:"memory_mb"`
+	FileDescriptors int      `toml:"file_descriptors"`
+	StopTimeout     Duration `toml:"stop_timeout"`
+}
+
+// EntryBudgetSettings size the leases of prepaid tokens.
+type EntryBudgetSettings struct {
+	Horizon        Duration        `toml:"horizon"`
+	MinLeaseTokens nutmegid.Tokens `toml:"min_lease_tokens"`
+}
+
+// Defaults of the entry settings.
+const (
+	// DefaultEntryHorizon is the span of spend that a lease covers.
+	DefaultEntryHorizon = 14 * time.Second
+	// DefaultEntryMinLeaseTokens is the smallest lease that is asked for.
+	DefaultEntryMinLeaseTokens = 30_000
+	// DefaultStopTimeout is how long a stopping instance waits for running requests.
+	DefaultStopTimeout = 8 * time.Second
+	// DefaultMemoryMB is the memory that an instance may use where nothing is said.
+	DefaultMemoryMB = 128
+	// DefaultFileDescriptors is how many descriptors an instance may use where nothing is said.
+	DefaultFileDescriptors = 4096
+)
+
+// DefaultEntrySettings returns the settings that a file starts from.
+func DefaultEntrySettings() EntrySettings {
+	return EntrySettings{
+		Limits: EntryLimitSettings{
+			MemoryMB: DefaultMemoryMB, FileDescriptors: DefaultFileDescriptors, StopTimeout: Duration(DefaultStopTimeout),
+		},
+		Budget: EntryBudgetSettings{Horizon: Duration(DefaultEntryHorizon), MinLeaseTokens: DefaultEntryMinLeaseTokens},
+		Log:    LogSettings{Level: "info", Format: "json"},
+	}
+}
+
+// LoadEntrySettings reads and checks a settings file as a whole. All faults
+// are reported at once as a *SettingsError.
+func LoadEntrySettings(file string) (EntrySettings, error) {
+	text, err := readSettings(file)
+	if err != nil {
+		return EntrySettings{}, err
+	}
+	return ParseEntrySettings(file, text)
+}
+
+// ParseEntrySettings checks the text of a settings file.
+func ParseEntrySettings(file string, text []byte) (EntrySettings, error) {
+	return parse(file, text, DefaultEntrySettings, func(c *checker, s EntrySettings) { c.checkEntry(s) })
+}
+
+func (c *checker) checkEntry(s EntrySettings) {
+	c.required("instance.name", string(s.Instance.Name))
+	c.required("instance.failure_domain", string(s.Instance.FailureDomain))
+	c.separate([]address{
+		{"listen.callers", s.Listen.Callers},
+		{"listen.readiness", s.Listen.Readiness},
+		{"listen.peers", s.Listen.Peers},
+		{"listen.metrics", s.Listen.Metrics},
+	})
+	if !isAddress(s.Store.Address) {
+		c.fault("store.address", "%q is no address; write ip:port", s.Store.Address)
+	}
+	c.between("store.writes_per_second", s.Store.WritesPerSecond, 1, maxStoreRate)
+	c.between("store.reads_per_second", s.Store.ReadsPerSecond, 1, maxStoreRate)
+	c.between("retries.ratio", s.Retries.Ratio, 0, 1)
+	c.between("retries.extra", s.Retries.Extra, 0, maxStoreRate)
+	c.positive("retries.window", s.Retries.Window)
+	c.between("limits.memory_mb", float64(s.Limits.MemoryMB), minMemoryMB, maxMemoryMB)
+	c.between("limits.file_descriptors", float64(s.Limits.FileDescriptors), minDescriptors, maxDescriptors)
+	c.positive("limits.stop_timeout", s.Limits.StopTimeout)
+	c.positive("budget.horizon", s.Budget.Horizon)
+	c.between("budget.min_lease_tokens", float64(s.Budget.MinLeaseTokens), 1, maxTokens)
+	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
+	c.oneOf("log.format", s.Log.Format, "json")
+}
--- a/nutmegconf/settings_check.go
+++ b/nutmegconf/settings_check.go
@@ -80,7 +80,11 @@
 type address struct{ key, value string }
 
 func (c *checker) addresses(l ListenSettings) {
-	all := []address{{"listen.callers", l.Callers}, {"listen.operators", l.Operators}, {"listen.peers", l.Peers}}
+	c.separate([]address{{"listen.callers", l.Callers}, {"listen.operators", l.Operators}, {"listen.peers", l.Peers}})
+}
+
+// separate checks addresses that must not claim the same port.
+func (c *checker) separate(all []address) {
 	var valid []address
 	for _, a := range all {
 		if !isAddress(a.value) {
--- a/nutmegconf/settings_file.go
+++ b/nutmegconf/settings_file.go
@@ -43,20 +43,33 @@
 // LoadSettings reads and checks a settings file as a whole. All faults are
 // reported at once as a *SettingsError.
 func LoadSettings(file string) (Settings, error) {
-	text, err := os.ReadFile(file)
+	text, err := readSettings(file)
 	if err != nil {
-		return Settings{}, fmt.Errorf("settings file %q is unreadable; name an existing file: %w", file, err)
+		return Settings{}, err
 	}
 	return ParseSettings(file, text)
 }
 
+func readSettings(file string) ([]byte, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("settings file %q is unreadable; name an existing file: %w", file, err)
+	}
+	return text, nil
+}
+
 // ParseSettings checks the text of a settings file.
 func ParseSettings(file string, text []byte) (Settings, error) {
-	r := reader{file: file, text: text}
+	return parse(file, text, DefaultSettings, func(c *checker, s Settings) { c.check(s) })
+}
+
+// parse decodes settings over their defaults and checks them.
+func parse[T any](file string, text []byte, defaults func() T, check func(*checker, T)) (T, error) {
+	r := reader[T]{file: file, text: text, defaults: defaults}
 	settings := r.decode()
 	if !r.malformed {
 		c := checker{file: file, lines: keyLines(text), faults: r.faults}
-		c.check(settings)
+		check(&c, settings)
 		r.faults = c.faults
 	}
 	if len(r.faults) == 0 {
@@ -67,7 +80,8 @@
 }
 
 // reader decodes a settings file and gathers its faults.
-type reader struct {
+type reader[T any] struct {
+	defaults  func() T
 	file      string
 	text      []byte
 	faults    []Fault
@@ -76,10 +90,10 @@
 
 // decode reads all values. A line whose value has the wrong type is left out
 // and the rest decoded again, so that every such line is reported.
-func (r *reader) decode() Settings {
+func (r *reader[T]) decode() T {
 	text := r.text
 	for {
-		settings := DefaultSettings()
+		settings := r.defaults()
 		err := newDecoder(text).Decode(&settings)
 		var strict *toml.StrictMissingError
 		var decode *toml.DecodeError
@@ -104,18 +118,18 @@
 	return toml.NewDecoder(bytes.NewReader(text)).DisallowUnknownFields()
 }
 
-func (r *reader) add(line int, key, detail string) {
+func (r *reader[T]) add(line int, key, detail string) {
 	r.faults = append(r.faults, Fault{File: r.file, Line: line, Key: key, Detail: strings.TrimPrefix(detail, "toml: ")})
 }
 
-func (r *reader) addUnknown(strict *toml.StrictMissingError) {
+func (r *reader[T]) addUnknown(strict *toml.StrictMissingError) {
 	for _, e := range strict.Errors {
 		line, _ := e.Position()
 		r.add(line, strings.Join(e.Key(), "."), "the key is unknown; see docs/operate/settings.md")
 	}
 }
 
-func (r *reader) addMalformed(err error) {
+func (r *reader[T]) addMalformed(err error) {
 	r.malformed = true
 	var decode *toml.DecodeError
 	line := 0
--- a/nutmegnode/operators.go
+++ b/nutmegnode/operators.go
@@ -9,6 +9,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegexport"
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -22,7 +23,7 @@
 	r := chi.NewRouter()
 	r.Get("/healthz", n.healthz)
 	r.Get("/readyz", n.readyz)
-	r.Method(http.MethodGet, "/metrics", n.metricsHandler())
+	r.Method(http.MethodGet, "/metrics", nutmegexport.Handler(n.metrics))
 	r.Group(func(r chi.Router) {
 		r.Get("/v1/status", n.operator(nutmegconf.RoleReader, n.status))
 		r.Get("/v1/bill", n.operator(nutmegconf.RoleReader, n.bill))
--- a/nutmegstore/client.go
+++ b/nutmegstore/client.go
@@ -27,15 +27,11 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
-	"net/url"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,6 +44,7 @@
 // ClientConfig configures a client.
 type ClientConfig struct {
 	BaseURL         string
+	Dialect         Dialect          // HeaderDialect when nil
 	HTTP            *http.Client     // a client without overall timeout; made when nil
 	Timeout         time.Duration    // of one call; DefaultTimeout when zero
 	WritesPerSecond float64          // DefaultWritesPerSecond when zero
@@ -68,8 +65,6 @@
 	callWatch  callKind = "store_watches"
 )
 
-var errNoVersion = errors.New("platform answered without a version")
-
 // Client calls the platform's object API.
 type Client struct {
 	cfg    ClientConfig
@@ -94,6 +89,9 @@
 	if cfg.HTTP == nil {
 		cfg.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 	}
+	if cfg.Dialect == nil {
+		cfg.Dialect = HeaderDialect{}
+	}
 	if cfg.Timeout == 0 {
 		cfg.Timeout = DefaultTimeout
 	}
@@ -122,119 +120,141 @@
 
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
-	if err := c.admit(ctx, key, c.reads, callRead); err != nil {
-		return Object{}, err
-	}
-	req, err := c.request(ctx, http.MethodGet, key, nil)
+	a, err := c.read(ctx, callRead, key, c.cfg.Dialect.Get(key), MaxValueBytes+maxEnvelopeBytes)
 	if err != nil {
 		return Object{}, err
 	}
-	a, err := c.do(req, c.reads, MaxValueBytes)
+	object, err := c.cfg.Dialect.ReadObject(key, a)
 	if err != nil {
 		return Object{}, newError(KindUnavailable, key, err)
 	}
-	if a.status == http.StatusOK && a.version == 0 {
-		return Object{}, newError(KindUnavailable, key, errNoVersion)
-	}
-	if a.status == http.StatusOK {
-		return Object{Key: key, Version: a.version, Value: a.body}, nil
-	}
-	return Object{}, a.failure(key, KindUnavailable)
+	return object, nil
 }
 
 // Create writes an object that must not exist yet.
 func (c *Client) Create(ctx context.Context, key Key, value []byte) (nutmegid.Version, error) {
-	return c.put(ctx, key, value, "If-None-Match", "*")
+	return c.put(ctx, key, len(value), c.cfg.Dialect.Create(key, value))
 }
 
 // Replace writes an object whose present version must be the given one.
 func (c *Client) Replace(ctx context.Context, key Key, value []byte, version nutmegid.Version) (nutmegid.Version, error) {
-	return c.put(ctx, key, value, "If-Match", quoteVersion(version))
+	return c.put(ctx, key, len(value), c.cfg.Dialect.Replace(key, value, version))
 }
 
-func (c *Client) put(ctx context.Context, key Key, value []byte, header, condition string) (nutmegid.Version, error) {
-	if len(value) > MaxValueBytes {
-		return 0, newError(KindTooLarge, key, fmt.Errorf("value has %d bytes", len(value)))
-	}
-	if err := c.admit(ctx, key, c.writes, callWrite); err != nil {
-		return 0, err
+func (c *Client) put(ctx context.Context, key Key, size int, call Call) (nutmegid.Version, error) {
+	if size > MaxValueBytes {
+		return 0, newError(KindTooLarge, key, fmt.Errorf("value has %d bytes", size))
 	}
-	req, err := c.request(ctx, http.MethodPut, key, value)
+	a, err := c.write(ctx, callWrite, key, call)
 	if err != nil {
 		return 0, err
 	}
-	req.Header.Set(header, condition)
-	a, err := c.do(req, c.writes, MaxValueBytes)
+	object, err := c.cfg.Dialect.ReadObject(key, a)
 	if err != nil {
-		return 0, newError(writeFailure(err), key, err)
+		return 0, newError(KindUnknown, key, err)
 	}
-	if a.status == http.StatusOK || a.status == http.StatusCreated {
-		if a.version == 0 {
-			return 0, newError(KindUnknown, key, errNoVersion)
-		}
-		return a.version, nil
-	}
-	return 0, a.failure(key, KindUnknown)
+	return object.Version, nil
 }
 
 // Delete removes an object whose present version must be the given one.
 func (c *Client) Delete(ctx context.Context, key Key, version nutmegid.Version) error {
-	if err := c.admit(ctx, key, c.writes, callDelete); err != nil {
-		return err
-	}
-	req, err := c.request(ctx, http.MethodDelete, key, nil)
-	if err != nil {
-		return err
-	}
-	req.Header.Set("If-Match", quoteVersion(version))
-	a, err := c.do(req, c.writes, MaxValueBytes)
-	if err != nil {
-		return newError(writeFailure(err), key, err)
-	}
-	if a.status == http.StatusNoContent || a.status == http.StatusOK {
-		return nil
-	}
-	return a.failure(key, KindUnknown)
-}
-
-// listItem is one object in a list or watch answer of the platform.
-type listItem struct {
-	Type    string           `json:"type,omitempty"`
-	Name    string           `json:"name"`
-	Version nutmegid.Version `json:"version"`
-	Value   []byte           `json:"value"`
+	_, err := c.write(ctx, callDelete, key, c.cfg.Dialect.Delete(key, version))
+	return err
 }
 
 // List reads all objects of a kind whose names start with prefix.
 func (c *Client) List(ctx context.Context, kind, prefix string) ([]Object, error) {
-	key := Key{Kind: kind, Name: prefix}
-	if err := c.admit(ctx, key, c.reads, callList); err != nil {
-		return nil, err
+	objects, _, err := c.listAll(ctx, ListCall{Kind: kind, Prefix: prefix})
+	return objects, err
+}
+
+// ListStale is List from a copy that may be seconds old and costs less.
+func (c *Client) ListStale(ctx context.Context, kind string) ([]Object, error) {
+	objects, _, err := c.listAll(ctx, ListCall{Kind: kind, Stale: true})
+	return objects, err
+}
+
+// listAll reads all pages of a list and returns the store's version before the
+// first page was read, 0 where the platform does not tell it.
+func (c *Client) listAll(ctx context.Context, l ListCall) ([]Object, nutmegid.Version, error) {
+	key := Key{Kind: l.Kind, Name: l.Prefix}
+	var objects []Object
+	var at nutmegid.Version
+	for {
+		a, err := c.read(ctx, callList, key, c.cfg.Dialect.List(l), maxListBytes)
+		if err != nil {
+			return nil, 0, err
+		}
+		page, err := c.cfg.Dialect.ReadPage(l.Kind, a)
+		if err != nil {
+			return nil, 0, newError(KindUnavailable, key, err)
+		}
+		if l.After == "" {
+			at = page.At
+		}
+		objects = append(objects, page.Objects...)
+		if page.Next == "" || page.Next == l.After {
+			return objects, at, nil
+		}
+		l.After = page.Next
+	}
+}
+
+// Poll returns the changes of a kind after a version as soon as there are
+// some, or none after wait. An error of KindCompacted says that the platform
+// has forgotten that version. The dialect must be a Poller.
+func (c *Client) Poll(ctx context.Context, kind string, since nutmegid.Version, wait time.Duration) (Changes, error) {
+	key := Key{Kind: kind}
+	poller, ok := c.cfg.Dialect.(Poller)
+	if !ok {
+		return Changes{}, newError(KindUnavailable, key, errors.New("the platform's API has no polls"))
 	}
-	req, err := c.listRequest(ctx, kind, prefix, "")
+	if err := c.admit(ctx, key, c.reads, callWatch); err != nil {
+		return Changes{}, err
+	}
+	a, err := c.do(ctx, poller.Poll(kind, since, wait), c.reads, maxListBytes, c.cfg.Timeout+wait)
 	if err != nil {
-		return nil, newError(KindUnavailable, key, err)
+		return Changes{}, newError(KindUnavailable, key, err)
+	}
+	if a.Status != http.StatusOK {
+		return Changes{}, c.failure(a, key, KindUnavailable)
 	}
-	a, err := c.do(req, c.reads, maxListBytes)
+	changes, err := poller.ReadChanges(kind, a)
 	if err != nil {
-		return nil, newError(KindUnavailable, key, err)
+		return Changes{}, newError(KindUnavailable, key, err)
 	}
-	if a.status != http.StatusOK {
-		return nil, a.failure(key, KindUnavailable)
+	return changes, nil
+}
+
+// read makes a call that changes nothing and returns its successful answer.
+func (c *Client) read(ctx context.Context, kind callKind, key Key, call Call, limit int64) (Answer, error) {
+	if err := c.admit(ctx, key, c.reads, kind); err != nil {
+		return Answer{}, err
 	}
-	var items []listItem
-	if err := json.Unmarshal(a.body, &items); err != nil {
-		return nil, newError(KindUnavailable, key, fmt.Errorf("list is not JSON: %w", err))
+	a, err := c.do(ctx, call, c.reads, limit, c.cfg.Timeout)
+	if err != nil {
+		return Answer{}, newError(KindUnavailable, key, err)
 	}
-	objects := make([]Object, 0, len(items))
-	for _, item := range items {
-		objects = append(objects, item.object(kind))
+	if a.Status != http.StatusOK {
+		return Answer{}, c.failure(a, key, KindUnavailable)
 	}
-	return objects, nil
+	return a, nil
 }
 
-func (i listItem) object(kind string) Object {
-	return Object{Key: Key{Kind: kind, Name: i.Name}, Version: i.Version, Value: i.Value}
+// write makes a call that changes an object and returns its successful answer.
+func (c *Client) write(ctx context.Context, kind callKind, key Key, call Call) (Answer, error) {
+	if err := c.admit(ctx, key, c.writes, kind); err != nil {
+		return Answer{}, err
+	}
+	a, err := c.do(ctx, call, c.writes, MaxValueBytes+maxEnvelopeBytes, c.cfg.Timeout)
+	if err != nil {
+		return Answer{}, newError(writeFailure(err), key, err)
+	}
+	switch a.Status {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return a, nil
+	}
+	return Answer{}, c.failure(a, key, KindUnknown)
 }
 
 // admit counts a call by its kind and waits for the instance's allowance.
@@ -251,55 +271,45 @@
 	metrics.GetOrRegisterCounter(name, c.cfg.Metrics).Inc(1)
 }
 
-func (c *Client) request(ctx context.Context, method string, key Key, value []byte) (*http.Request, error) {
-	target := c.cfg.BaseURL + "/v1/objects/" + url.PathEscape(key.Kind) + "/" + url.PathEscape(key.Name)
-	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(value))
-	if err != nil {
-		return nil, newError(KindUnavailable, key, err)
-	}
-	return req, nil
-}
-
-func (c *Client) listRequest(ctx context.Context, kind, prefix, watch string) (*http.Request, error) {
-	query := url.Values{"prefix": {prefix}}
-	if watch != "" {
-		query.Set("watch", watch)
-	}
-	target := c.cfg.BaseURL + "/v1/objects/" + url.PathEscape(kind) + "?" + query.Encode()
-	return http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-}
-
-// answer is the platform's whole answer to one call.
-type answer struct {
-	status  int
-	version nutmegid.Version
-	body    []byte
-}
-
 // do sends a call and reads its answer of at most limit bytes.
-func (c *Client) do(req *http.Request, a *allowance, limit int64) (answer, error) {
-	ctx, cancel := context.WithTimeout(req.Context(), c.cfg.Timeout)
+func (c *Client) do(ctx context.Context, call Call, a *allowance, limit int64, timeout time.Duration) (Answer, error) {
+	timed, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp, err := c.cfg.HTTP.Do(req.WithContext(ctx))
+	req, err := c.request(timed, call)
+	if err != nil {
+		return Answer{}, err
+	}
+	resp, err := c.cfg.HTTP.Do(req)
 	if err != nil {
-		c.noteFailure(req.Context())
-		return answer{}, err
+		c.noteFailure(ctx)
+		return Answer{}, err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
 	if err != nil {
-		c.noteFailure(req.Context())
-		return answer{}, err
+		c.noteFailure(ctx)
+		return Answer{}, err
 	}
 	if int64(len(body)) > limit {
-		return answer{}, fmt.Errorf("answer is over %d bytes", limit)
+		return Answer{}, fmt.Errorf("answer is over %d bytes", limit)
 	}
 	a.note(resp.StatusCode == http.StatusTooManyRequests)
 	if resp.StatusCode == http.StatusTooManyRequests {
 		c.count("store_limited")
 	}
 	c.note(resp.StatusCode < http.StatusInternalServerError)
-	return answer{status: resp.StatusCode, version: versionOf(resp.Header), body: body}, nil
+	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: body}, nil
+}
+
+func (c *Client) request(ctx context.Context, call Call) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, call.Method, c.cfg.BaseURL+call.Path, bytes.NewReader(call.Body))
+	if err != nil {
+		return nil, err
+	}
+	for name, values := range call.Header {
+		req.Header[name] = values
+	}
+	return req, nil
 }
 
 // noteFailure counts a call that got no answer, unless its caller gave it up.
@@ -342,14 +352,21 @@
 	}
 }
 
-// failure is the error of an answer whose status is no success.
-func (a answer) failure(key Key, otherwise ErrorKind) error {
-	err := fmt.Errorf("platform answered %d: %s", a.status, bytes.TrimSpace(a.body))
-	switch a.status {
+// failure is the error of an answer whose status is no success. A conflict
+// carries the present object where the platform sent it.
+func (c *Client) failure(a Answer, key Key, otherwise ErrorKind) error {
+	err := fmt.Errorf("platform answered %d: %s", a.Status, excerpt(a.Body))
+	switch a.Status {
 	case http.StatusNotFound:
 		return newError(KindNotFound, key, err)
 	case http.StatusPreconditionFailed, http.StatusConflict:
-		return newError(KindConflict, key, err)
+		conflict := newError(KindConflict, key, err)
+		if object, ok := c.cfg.Dialect.ReadConflict(key, a); ok {
+			conflict.Present = &object
+		}
+		return conflict
+	case http.StatusGone:
+		return newError(KindCompacted, key, err)
 	case http.StatusRequestEntityTooLarge:
 		return newError(KindTooLarge, key, err)
 	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
@@ -358,15 +375,8 @@
 	return newError(otherwise, key, err)
 }
 
-func versionOf(h http.Header) nutmegid.Version {
-	text := strings.Trim(h.Get("ETag"), `"`)
-	version, err := strconv.ParseUint(text, 10, 64)
-	if err != nil {
-		return 0
-	}
-	return nutmegid.Version(version)
-}
-
-func quoteVersion(version nutmegid.Version) string {
-	return `"` + strconv.FormatUint(uint64(version), 10) + `"`
+// excerpt is the beginning of an answer's text, for an error.
+func excerpt(body []byte) []byte {
+	body = bytes.TrimSpace(body)
+	return body[:min(len(body), maxExcerptBytes)]
 }
--- /dev/null
+++ b/nutmegstore/dialect.go
@@ -0,0 +1,171 @@
+package nutmegstore
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// Call is one HTTP call to the platform, relative to its base URL.
+type Call struct {
+	Method string
+	Path   string // escaped, with the query
+	Header http.Header
+	Body   []byte
+}
+
+// Answer is the platform's whole answer to one call.
+type Answer struct {
+	Status int
+	Header http.Header
+	Body   []byte
+}
+
+// ListCall asks for one page of a list.
+type ListCall struct {
+	Kind   string
+	Prefix string // of the objects' names
+	After  string // where the page begins; empty for the first
+	Stale  bool   // an answer that is seconds old will do
+}
+
+// Page is a part of a list.
+type Page struct {
+	Objects []Object
+	Next    string           // where the next page begins; empty on the last one
+	At      nutmegid.Version // of the store when the list was read; 0 where it is not told
+}
+
+// Changes are the changes of a kind since a version.
+type Changes struct {
+	Objects []Object
+	At      nutmegid.Version // where the next poll goes on
+}
+
+// Dialect is one form of the platform's object API: how calls are written and
+// how answers are read. It keeps no state.
+type Dialect interface {
+	Get(key Key) Call
+	Create(key Key, value []byte) Call
+	Replace(key Key, value []byte, version nutmegid.Version) Call
+	Delete(key Key, version nutmegid.Version) Call
+	// List asks for a page of the objects of a kind.
+	List(l ListCall) Call
+	// ReadObject decodes the answer to a successful Get, Create or Replace.
+	// The value may be missing in the answer to a write.
+	ReadObject(key Key, a Answer) (Object, error)
+	// ReadConflict returns the present object from the answer to a write that
+	// met another version, false where the answer does not hold it.
+	ReadConflict(key Key, a Answer) (Object, bool)
+	// ReadPage decodes the answer to a successful List.
+	ReadPage(kind string, a Answer) (Page, error)
+}
+
+// Poller is a Dialect whose watch is a call that ends with the first changes.
+type Poller interface {
+	Dialect
+	Poll(kind string, since nutmegid.Version, wait time.Duration) Call
+	ReadChanges(kind string, a Answer) (Changes, error)
+}
+
+// Streamer is a Dialect whose watch is an endless answer of JSON lines.
+type Streamer interface {
+	Dialect
+	Watch(kind, prefix string) Call
+}
+
+var errNoVersion = errors.New("platform answered without a version")
+
+// HeaderDialect is the project's own form of the object API: values are raw
+// bodies, and versions stand in ETag and If-Match.
+type HeaderDialect struct{}
+
+// Get implements Dialect.
+func (HeaderDialect) Get(key Key) Call {
+	return Call{Method: http.MethodGet, Path: objectPath(key)}
+}
+
+// Create implements Dialect.
+func (HeaderDialect) Create(key Key, value []byte) Call {
+	return Call{Method: http.MethodPut, Path: objectPath(key), Header: http.Header{"If-None-Match": {"*"}}, Body: value}
+}
+
+// Replace implements Dialect.
+func (HeaderDialect) Replace(key Key, value []byte, version nutmegid.Version) Call {
+	return Call{Method: http.MethodPut, Path: objectPath(key), Header: ifMatch(version), Body: value}
+}
+
+// Delete implements Dialect.
+func (HeaderDialect) Delete(key Key, version nutmegid.Version) Call {
+	return Call{Method: http.MethodDelete, Path: objectPath(key), Header: ifMatch(version)}
+}
+
+// List implements Dialect. All objects come in one page.
+func (HeaderDialect) List(l ListCall) Call {
+	return Call{Method: http.MethodGet, Path: kindPath(l.Kind) + "?" + url.Values{"prefix": {l.Prefix}}.Encode()}
+}
+
+// Watch implements Streamer.
+func (HeaderDialect) Watch(kind, prefix string) Call {
+	query := url.Values{"prefix": {prefix}, "watch": {"1"}}
+	return Call{Method: http.MethodGet, Path: kindPath(kind) + "?" + query.Encode()}
+}
+
+// ReadObject implements Dialect.
+func (HeaderDialect) ReadObject(key Key, a Answer) (Object, error) {
+	text := strings.Trim(a.Header.Get("ETag"), `"`)
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil || version == 0 {
+		return Object{}, errNoVersion
+	}
+	return Object{Key: key, Version: nutmegid.Version(version), Value: a.Body}, nil
+}
+
+// ReadConflict implements Dialect. The answer holds no object.
+func (HeaderDialect) ReadConflict(Key, Answer) (Object, bool) {
+	return Object{}, false
+}
+
+// ReadPage implements Dialect.
+func (HeaderDialect) ReadPage(kind string, a Answer) (Page, error) {
+	var items []listItem
+	if err := json.Unmarshal(a.Body, &items); err != nil {
+		return Page{}, fmt.Errorf("list is not JSON: %w", err)
+	}
+	objects := make([]Object, 0, len(items))
+	for _, item := range items {
+		objects = append(objects, item.object(kind))
+	}
+	return Page{Objects: objects}, nil
+}
+
+// listItem is one object in a list or watch answer.
+type listItem struct {
+	Type    string           `json:"type,omitempty"`
+	Name    string           `json:"name"`
+	Version nutmegid.Version `json:"version"`
+	Value   []byte           `json:"value"`
+}
+
+func (i listItem) object(kind string) Object {
+	return Object{Key: Key{Kind: kind, Name: i.Name}, Version: i.Version, Value: i.Value}
+}
+
+func kindPath(kind string) string {
+	return "/v1/objects/" + url.PathEscape(kind)
+}
+
+func objectPath(key Key) string {
+	return kindPath(key.Kind) + "/" + url.PathEscape(key.Name)
+}
+
+func ifMatch(version nutmegid.Version) http.Header {
+	return http.Header{"If-Match": {`"` + strconv.FormatUint(uint64(version), 10) + `"`}}
+}
--- a/nutmegstore/errors.go
+++ b/nutmegstore/errors.go
@@ -22,6 +22,8 @@
 	KindUnknown ErrorKind = "unknown_outcome"
 	// KindTooLarge says that the value is over MaxValueBytes.
 	KindTooLarge ErrorKind = "too_large"
+	// KindCompacted says that the platform has forgotten the version that a poll goes on from.
+	KindCompacted ErrorKind = "compacted"
 	// KindDamaged says that the object's value is not one of ours.
 	KindDamaged ErrorKind = "damaged"
 )
@@ -32,6 +34,8 @@
 	Key    Key
 	Remedy string
 	Err    error
+	// Present is the object that a conflict is with, nil where it was not told.
+	Present *Object
 }
 
 // Error names the object, what failed and the remedy.
@@ -54,6 +58,15 @@
 	return errors.As(err, &e) && e.Kind == kind
 }
 
+// presentOf returns the object that a conflict is with, nil where it is not known.
+func presentOf(err error) *Object {
+	var e *Error
+	if errors.As(err, &e) && e.Kind == KindConflict {
+		return e.Present
+	}
+	return nil
+}
+
 func newError(kind ErrorKind, key Key, err error) *Error {
 	return &Error{Kind: kind, Key: key, Remedy: remedies[kind], Err: err}
 }
@@ -64,6 +77,7 @@
 	KindUnavailable: "try again once the platform answers",
 	KindUnknown:     "read the object to learn whether the write took effect",
 	KindTooLarge:    fmt.Sprintf("split the value; the platform holds at most %d bytes", MaxValueBytes),
+	KindCompacted:   "list the objects again",
 	KindDamaged:     "have an operator inspect the object; it is never overwritten",
 }
 
--- a/nutmegstore/update.go
+++ b/nutmegstore/update.go
@@ -22,6 +22,8 @@
 	id     nutmegid.WriteID
 	change func(*T) error
 
+	present *Object // that the last conflict was with; nil where it must be read
+
 	first *attempt // the earliest attempt of unknown outcome
 	last  *attempt // the latest attempt of unknown outcome
 }
@@ -71,7 +73,7 @@
 // try reads the object once and writes it at most once. It reports whether the
 // outcome is final.
 func (u *update[T]) try(ctx context.Context) (Document[T], bool, error) {
-	object, err := u.w.api.Get(ctx, u.key)
+	object, err := u.read(ctx)
 	if IsKind(err, KindNotFound) {
 		return u.create(ctx)
 	}
@@ -91,6 +93,15 @@
 	return u.write(ctx, doc, object, from)
 }
 
+// read returns the present object, without a call where a conflict told it.
+func (u *update[T]) read(ctx context.Context) (Object, error) {
+	if object := u.present; object != nil {
+		u.present = nil
+		return *object, nil
+	}
+	return u.w.api.Get(ctx, u.key)
+}
+
 // create writes the object when there is none. An object that was there at an
 // earlier attempt has been deleted, perhaps with our write in it.
 func (u *update[T]) create(ctx context.Context) (Document[T], bool, error) {
@@ -125,6 +136,7 @@
 		next = &attempt{base: base, from: from, value: value}
 	}
 	version, err := u.send(ctx, next)
+	u.present = presentOf(err)
 	switch {
 	case err == nil:
 		doc, _, err = decode[T](Object{Key: u.key, Version: version, Value: next.value})
--- a/nutmegstore/watch.go
+++ b/nutmegstore/watch.go
@@ -4,10 +4,12 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -27,9 +29,13 @@
 	if err := c.admit(ctx, key, c.reads, callWatch); err != nil {
 		return err
 	}
+	streamer, ok := c.cfg.Dialect.(Streamer)
+	if !ok {
+		return newError(KindUnavailable, key, errors.New("the platform's API has no streamed watches"))
+	}
 	watched, cancel := context.WithCancel(ctx)
 	defer cancel()
-	req, err := c.listRequest(watched, kind, prefix, "1")
+	req, err := c.request(watched, streamer.Watch(kind, prefix))
 	if err != nil {
 		return newError(KindUnavailable, key, err)
 	}
@@ -44,7 +50,7 @@
 	c.reads.note(resp.StatusCode == http.StatusTooManyRequests)
 	if resp.StatusCode != http.StatusOK {
 		c.note(resp.StatusCode < http.StatusInternalServerError)
-		return answer{status: resp.StatusCode}.failure(key, KindUnavailable)
+		return c.failure(Answer{Status: resp.StatusCode}, key, KindUnavailable)
 	}
 	err = c.readLines(resp.Body, kind, func(o Object, isObject bool) {
 		c.note(true)
@@ -79,11 +85,29 @@
 	return fmt.Errorf("watch ended: %w", io.ErrUnexpectedEOF)
 }
 
+// Batch is a number of changes that a follower saw at once.
+type Batch struct {
+	Objects []Object
+	At      nutmegid.Version // of the store; 0 where it is not told
+	// AfterGap says that the store could not be watched since the last batch.
+	AfterGap bool
+}
+
 // Follow keeps fn told of the objects of a kind until ctx ends: of each present
 // object, of each newer version, and of each deletion. It lists and watches
 // again after a broken or silent watch. Versions of one object that fn sees
 // never fall, except that a deleted object may be created again.
 func (c *Client) Follow(ctx context.Context, kind, prefix string, fn func(Object)) {
+	c.FollowBatches(ctx, kind, prefix, func(b Batch) {
+		for _, o := range b.Objects {
+			fn(o)
+		}
+	})
+}
+
+// FollowBatches is Follow with all changes that come at once in one call.
+// Batches without changes are told where they end a gap.
+func (c *Client) FollowBatches(ctx context.Context, kind, prefix string, fn func(Batch)) {
 	f := follower{client: c, kind: kind, prefix: prefix, fn: fn, known: make(map[string]nutmegid.Version)}
 	f.run(ctx)
 }
@@ -93,16 +117,17 @@
 	client *Client
 	kind   string
 	prefix string
-	fn     func(Object)
+	fn     func(Batch)
 	known  map[string]nutmegid.Version
+	gap    bool // the store could not be watched since the last batch
 }
 
 func (f *follower) run(ctx context.Context) {
 	wait := firstRewatch
 	for ctx.Err() == nil {
 		began := time.Now()
-		if f.relist(ctx) == nil {
-			_ = f.client.Watch(ctx, f.kind, f.prefix, f.take)
+		if at, err := f.relist(ctx); err == nil {
+			f.watch(ctx, at)
 		}
 		wait = min(2*wait, maxRewatch)
 		if time.Since(began) > maxRewatch {
@@ -114,38 +139,86 @@
 	}
 }
 
-// relist reports what changed while no watch was open.
-func (f *follower) relist(ctx context.Context) error {
-	objects, err := f.client.List(ctx, f.kind, f.prefix)
+// watch reports changes until the watch breaks.
+func (f *follower) watch(ctx context.Context, at nutmegid.Version) {
+	if _, ok := f.client.cfg.Dialect.(Poller); ok {
+		f.poll(ctx, at)
+		return
+	}
+	_ = f.client.Watch(ctx, f.kind, f.prefix, func(o Object) { f.tell([]Object{o}, 0) })
+	f.gap = ctx.Err() == nil
+}
+
+// poll reports changes until the platform forgets where it goes on. A poll
+// that fails is made again from the same version, so that an outage costs no
+// list.
+func (f *follower) poll(ctx context.Context, at nutmegid.Version) {
+	wait := firstRewatch
+	for ctx.Err() == nil {
+		changes, err := f.client.Poll(ctx, f.kind, at, pollWait)
+		if IsKind(err, KindCompacted) {
+			f.client.count("store_compacted_watches")
+			return
+		}
+		if err != nil {
+			f.gap = true
+			wait = min(2*wait, maxRewatch)
+			if !sleep(ctx, wait/2+rand.N(wait/2)) {
+				return
+			}
+			continue
+		}
+		wait = firstRewatch
+		at = changes.At
+		f.tell(changes.Objects, at)
+	}
+}
+
+// relist reports what changed while no watch was open and returns the
+// store's version.
+func (f *follower) relist(ctx context.Context) (nutmegid.Version, error) {
+	objects, at, err := f.client.listAll(ctx, ListCall{Kind: f.kind, Prefix: f.prefix})
 	if err != nil {
-		return err
+		f.gap = true
+		return 0, err
 	}
 	present := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		present[o.Key.Name] = true
-		f.take(o)
 	}
 	for name, version := range f.known {
 		if !present[name] {
-			f.take(Object{Key: Key{Kind: f.kind, Name: name}, Version: version, Deleted: true})
+			objects = append(objects, Object{Key: Key{Kind: f.kind, Name: name}, Version: version, Deleted: true})
 		}
 	}
-	return nil
+	f.tell(objects, at)
+	return at, nil
 }
 
-// take passes on what is newer than the known version.
-func (f *follower) take(o Object) {
+// tell passes on what is newer than the known versions.
+func (f *follower) tell(objects []Object, at nutmegid.Version) {
+	b := Batch{At: at, AfterGap: f.gap}
+	for _, o := range objects {
+		if strings.HasPrefix(o.Key.Name, f.prefix) && f.newer(o) {
+			b.Objects = append(b.Objects, o)
+		}
+	}
+	if len(b.Objects) > 0 || b.AfterGap {
+		f.fn(b)
+	}
+	f.gap = false
+}
+
+// newer notes an object and says whether it is newer than the known version.
+func (f *follower) newer(o Object) bool {
 	version, known := f.known[o.Key.Name]
 	if o.Deleted {
 		delete(f.known, o.Key.Name)
-		if known {
-			f.fn(o)
-		}
-		return
+		return known
 	}
 	if known && o.Version <= version {
-		return
+		return false
 	}
 	f.known[o.Key.Name] = o.Version
-	f.fn(o)
+	return true
 }
