--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -23,13 +23,18 @@
 )
 
 const (
-	// DefaultHorizon is the span of spend that a lease covers: longer than an
+	// DefaultHorizon is the span of spend that a lease covers: as long as an
 	// instance is usually cut off from the store.
-	DefaultHorizon = 14 * time.Second
+	DefaultHorizon = 10 * time.Second
+	// DefaultLeased is the share of a budget that is leased. What stays in the
+	// store is out of reach while the store is away.
+	DefaultLeased = 0.94
+	// DefaultEven is the share of the leases that is divided evenly.
+	DefaultEven = 0.25
 	// DefaultMinLease is the smallest lease that is asked for, in tokens.
-	DefaultMinLease = 30_000
+	DefaultMinLease = 12_000
 
-	rateWeight     = 0.3 // of the newest commit interval
+	rateWeight     = 0.15 // of the newest commit interval
 	acquireTimeout = 300 * time.Millisecond
 	commitTimeout  = 1500 * time.Millisecond
 	retryAfter     = 400 * time.Millisecond
@@ -43,6 +48,8 @@
 	Incarnation nutmegid.Incarnation
 	Instance    nutmegid.Instance
 	Horizon     time.Duration                  // DefaultHorizon when zero
+	Leased      float64                        // DefaultLeased when zero
+	Even        float64                        // DefaultEven when zero
 	MinLease    nutmegid.Tokens                // DefaultMinLease when zero
 	OnCommit    func(c nutmegbudget.Committed) // nil for none
 }
@@ -58,6 +65,12 @@
 	if cfg.Horizon == 0 {
 		cfg.Horizon = DefaultHorizon
 	}
+	if cfg.Leased == 0 {
+		cfg.Leased = DefaultLeased
+	}
+	if cfg.Even == 0 {
+		cfg.Even = DefaultEven
+	}
 	if cfg.MinLease == 0 {
 		cfg.MinLease = DefaultMinLease
 	}
@@ -67,7 +80,7 @@
 		Incarnation:    cfg.Incarnation,
 		Instance:       cfg.Instance,
 		Shards:         1,
-		Policy:         nutmegbudget.RateProportional{Horizon: cfg.Horizon, MinLease: cfg.MinLease},
+		Policy:         nutmegbudget.FairShare{Horizon: cfg.Horizon, Leased: cfg.Leased, Even: cfg.Even, MinLease: cfg.MinLease},
 		RateWeight:     rateWeight,
 		CommitTimeout:  commitTimeout,
 		AcquireTimeout: acquireTimeout,
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -143,7 +143,7 @@
 	}, e.log)
 	e.meter = nutmegmeter.New(nutmegmeter.Config{
 		Writer: e.writer, StoreUp: e.client.Up, View: e.view, Incarnation: e.incarnation, Instance: s.Instance.Name,
-		Horizon: time.Duration(s.Budget.Horizon), MinLease: s.Budget.MinLeaseTokens, OnCommit: e.committed,
+		Horizon: time.Duration(s.Budget.Horizon), Leased: s.Budget.Leased, Even: s.Budget.Even, MinLease: s.Budget.MinLeaseTokens, OnCommit: e.committed,
 	})
 }
 
--- a/internal/instance/nutmegentry/journal.go
+++ b/internal/instance/nutmegentry/journal.go
@@ -55,7 +55,8 @@
 func (e *Entry) committed(c nutmegbudget.Committed) {
 	e.event("budget_committed").WithFields(logrus.Fields{
 		"budget": c.Budget, "settled": c.Settled, "granted": c.Granted, "returned": c.Returned,
-	}).Debug("a lease was committed")
+		"held": c.Held, "remaining": c.Remaining, "unspent": c.Unspent, "rate": int64(c.Rate),
+	}).Info("a lease was committed")
 }
 
 // decided logs one step in a request's life.
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -24,6 +24,8 @@
 	need      nutmegid.Tokens // lacking for waiting requests
 	interval  nutmegid.Tokens // used since the last tick
 	rate      float64         // tokens a second
+	smoothed  float64         // of the rate, as if there had been no spend before the first tick
+	unseen    float64         // weight in smoothed of the time before the first tick
 	quiet     int             // ticks since the last use or need
 
 	granted nutmegid.Tokens // since the lease began, as in the store
@@ -33,6 +35,7 @@
 
 	remaining nutmegid.Tokens // of the budget, when last seen
 	unspent   nutmegid.Tokens // of the budget, when last seen; leases included
+	live      liveLeases      // when last seen
 	grant     nutmegid.Tokens // of the latest commit with a need
 	holders   int
 	rich      []nutmegid.Incarnation
@@ -196,13 +199,19 @@
 		return 0
 	}
 	held := a.free + a.reserved + a.locked()
-	keep := a.terms.Policy.Keep(View{Rate: a.rate, Held: held, Granted: a.granted, Prepaid: maxTokens, Remaining: a.remaining, Holders: a.holders, Idle: a.idle()})
+	keep := a.terms.Policy.Keep(View{
+		Rate: a.rate, Held: held, Granted: a.granted, Prepaid: maxTokens, Remaining: a.remaining, Holders: a.holders, Idle: a.idle(),
+		Live: a.live.tokens, TotalRate: a.live.rate, LiveHolders: a.live.holders,
+	})
 	return max(0, min(a.free, held-keep))
 }
 
 // tick updates the spend rate, once per commit interval.
 func (a *account) tick(interval time.Duration) {
-	a.rate += a.committer.holder.cfg.RateWeight * (float64(a.interval)/interval.Seconds() - a.rate)
+	weight := a.committer.holder.cfg.RateWeight
+	a.smoothed += weight * (float64(a.interval)/interval.Seconds() - a.smoothed)
+	a.unseen *= 1 - weight
+	a.rate = a.smoothed / (1 - a.unseen)
 	a.quiet++
 	if a.interval > 0 || a.need > 0 {
 		a.quiet = 0
@@ -248,12 +257,23 @@
 		a.unlock(a.locked())
 		a.stored = a.acked
 	}
+	a.live = liveLeases{tokens: s.Live, rate: s.TotalRate, holders: s.LiveHolders}
 	a.remaining, a.unspent, a.holders, a.rich = s.Remaining, s.Unspent, s.Holders, s.Rich
 	a.finishTransfers(e, s, r.Released)
 	a.assert()
 	return granted
 }
 
+// committed describes the account's part in a written commit.
+func (a *account) committed(e Entry, granted nutmegid.Tokens) Committed {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return Committed{
+		Budget: a.id, Settled: e.Settle, Granted: granted, Returned: e.GiveBack,
+		Held: a.free + a.reserved, Remaining: a.remaining, Unspent: a.unspent, Rate: a.rate,
+	}
+}
+
 // unlock frees n locked tokens.
 func (a *account) unlock(n nutmegid.Tokens) {
 	a.acked += n
--- a/nutmegbudget/batch.go
+++ b/nutmegbudget/batch.go
@@ -55,15 +55,19 @@
 
 // Share is the state of one entry's budget.
 type Share struct {
-	Known     bool                   `json:"known"`
-	Granted   nutmegid.Tokens        `json:"granted"`
-	Taken     nutmegid.Tokens        `json:"taken,omitempty"`
-	Remaining nutmegid.Tokens        `json:"remaining"`
-	Unspent   nutmegid.Tokens        `json:"unspent,omitempty"` // leases included
-	Holders   int                    `json:"holders"`
-	Rich      []nutmegid.Incarnation `json:"rich,omitempty"`
-	Stranded  nutmegid.Tokens        `json:"stranded,omitempty"`
-	Transfers []Transfer             `json:"transfers,omitempty"`
+	Known     bool            `json:"known"`
+	Granted   nutmegid.Tokens `json:"granted"`
+	Taken     nutmegid.Tokens `json:"taken,omitempty"`
+	Remaining nutmegid.Tokens `json:"remaining"`
+	Unspent   nutmegid.Tokens `json:"unspent,omitempty"` // leases included
+	// Live, TotalRate and LiveHolders are as in View.
+	Live        nutmegid.Tokens        `json:"live,omitempty"`
+	TotalRate   float64                `json:"total_rate,omitempty"`
+	LiveHolders int                    `json:"live_holders,omitempty"`
+	Holders     int                    `json:"holders"`
+	Rich        []nutmegid.Incarnation `json:"rich,omitempty"`
+	Stranded    nutmegid.Tokens        `json:"stranded,omitempty"`
+	Transfers   []Transfer             `json:"transfers,omitempty"`
 }
 
 // Apply changes the shard by a batch, once, and returns ErrUnchanged where an
@@ -100,6 +104,11 @@
 	if s.Holders == nil {
 		s.Holders = make(map[nutmegid.Incarnation]*Record)
 	}
+	for _, other := range s.Holders {
+		if other.Instance == batch.Instance {
+			other.Superseded = true
+		}
+	}
 	r := &Record{Instance: batch.Instance}
 	s.Holders[batch.Incarnation] = r
 	return r
@@ -134,8 +143,9 @@
 	}
 	b.Spent += e.Settle
 	l.Tokens -= e.Settle + e.GiveBack
+	l.Rate = e.Rate
 	if !batch.Leave {
-		grant := policy(e.Budget).Target(b.view(l, e)) - l.Tokens
+		grant := policy(e.Budget).Target(s.view(b, l, e)) - l.Tokens
 		grant = max(0, min(grant, b.Remaining()))
 		l.Tokens += grant
 		l.Granted += grant
@@ -146,11 +156,34 @@
 	return b.Check(e.Budget)
 }
 
-func (b *Budget) view(l *Lease, e Entry) View {
+func (s *Shard) view(b *Budget, l *Lease, e Entry) View {
+	live := s.live(b)
 	return View{
 		Rate: e.Rate, Held: l.Tokens, Need: e.Need, Granted: l.Granted,
 		Remaining: b.Remaining(), Prepaid: b.Prepaid, Holders: len(b.Leases), Idle: e.Idle,
+		Live: live.tokens, TotalRate: live.rate, LiveHolders: live.holders,
+	}
+}
+
+// liveLeases sums up what the holders of a budget have that may still be up.
+type liveLeases struct {
+	tokens  nutmegid.Tokens // with what no holder has
+	rate    float64
+	holders int
+}
+
+func (s *Shard) live(b *Budget) liveLeases {
+	sum := liveLeases{tokens: b.Remaining()}
+	for inc, l := range b.Leases {
+		record := s.Holders[inc]
+		if l.Released || record == nil || record.Superseded {
+			continue
+		}
+		sum.tokens += l.Tokens
+		sum.rate += l.Rate
+		sum.holders++
 	}
+	return sum
 }
 
 // settleReleased takes real spend and unspent tokens of a released holder out
@@ -223,6 +256,8 @@
 		return Share{}
 	}
 	share := Share{Known: true, Remaining: b.Remaining(), Unspent: b.Prepaid - b.Spent, Holders: len(b.Leases), Rich: b.richest(inc)}
+	live := s.live(b)
+	share.Live, share.TotalRate, share.LiveHolders = live.tokens, live.rate, live.holders
 	if l := b.Leases[inc]; l != nil {
 		share.Granted, share.Taken = l.Granted, l.Taken
 	}
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -316,7 +316,7 @@
 		a := p.accounts[i]
 		granted := a.finish(e, r.Shares[i], r)
 		if c.holder.cfg.OnCommit != nil && (e.Settle > 0 || granted > 0 || e.GiveBack > 0) {
-			c.holder.cfg.OnCommit(Committed{Budget: a.id, Settled: e.Settle, Granted: granted, Returned: e.GiveBack})
+			c.holder.cfg.OnCommit(a.committed(e, granted))
 		}
 	}
 }
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -69,6 +69,11 @@
 	Settled  nutmegid.Tokens
 	Granted  nutmegid.Tokens
 	Returned nutmegid.Tokens
+	Held     nutmegid.Tokens // after the commit, running requests included
+	// Remaining is what no holder has, Unspent what was not settled by any.
+	Remaining nutmegid.Tokens
+	Unspent   nutmegid.Tokens
+	Rate      float64 // tokens a second that this holder spends
 }
 
 // Holder holds one incarnation's leases.
@@ -322,7 +327,7 @@
 		return a
 	}
 	shard := ShardOf(id, h.cfg.Shards)
-	a := &account{id: id, committer: h.committers[shard], terms: h.cfg.Terms(id)}
+	a := &account{id: id, committer: h.committers[shard], terms: h.cfg.Terms(id), unseen: 1}
 	h.accounts[id] = a
 	h.byShard[shard] = append(h.byShard[shard], a)
 	return a
--- a/nutmegbudget/policy.go
+++ b/nutmegbudget/policy.go
@@ -16,6 +16,11 @@
 	Prepaid   nutmegid.Tokens // the whole budget
 	Holders   int             // leases on the budget, this one included
 	Idle      bool            // no request has come for a while
+	// Live is Remaining and the leases of all holders that may still be up,
+	// TotalRate what these spend in a second, and LiveHolders their number.
+	Live        nutmegid.Tokens
+	TotalRate   float64
+	LiveHolders int
 }
 
 // Policy sizes leases.
@@ -62,6 +67,41 @@
 	return keepFactor * p.want(v)
 }
 
+// FairShare holds the spend of a horizon, so that a holder can go on while the
+// store is away, and at most its fair part of what the live holders have. What
+// a dead holder had is lost, so the horizon is also the price of a death.
+type FairShare struct {
+	Horizon time.Duration
+	// Leased is the share of the budget that may be leased, 0 to 1; the rest
+	// stays in the store for holders that run short.
+	Leased float64
+	// Even is the share of the spend that is taken to be even over holders, 0
+	// to 1: the spend of a moment ago tells only so much of the next.
+	Even     float64
+	MinLease nutmegid.Tokens // tokens beyond the horizon's spend, for a large request
+}
+
+// Target implements Policy.
+func (p FairShare) Target(v View) nutmegid.Tokens {
+	return max(p.fair(v), v.Held+v.Need)
+}
+
+// Keep implements Policy. A quarter more than the target is kept, so that small
+// changes of the rate move nothing.
+func (p FairShare) Keep(v View) nutmegid.Tokens {
+	return p.fair(v) + p.fair(v)/4
+}
+
+func (p FairShare) fair(v View) nutmegid.Tokens {
+	holders := float64(max(v.LiveHolders, 1))
+	part := 1 / holders
+	if v.TotalRate > 0 {
+		part = p.Even/holders + (1-p.Even)*min(v.Rate/v.TotalRate, 1)
+	}
+	want := part*v.TotalRate*p.Horizon.Seconds() + float64(p.MinLease)
+	return nutmegid.Tokens(min(want, part*p.Leased*float64(v.Live)))
+}
+
 // FixedLease holds the same number of tokens whatever the spend.
 type FixedLease struct {
 	Tokens nutmegid.Tokens
--- a/nutmegbudget/shard.go
+++ b/nutmegbudget/shard.go
@@ -29,6 +29,9 @@
 	Commit uint64 `json:"commit"`
 	// Released is the order number of the release, 0 while the holder is in force.
 	Released uint64 `json:"released,omitempty"`
+	// Superseded says that a later incarnation of the instance has joined: this
+	// one is dead, and what it held stays leased to it.
+	Superseded bool `json:"superseded,omitempty"`
 	// Witnesses acknowledge the holder's slices. Epoch rises with each change of them.
 	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
 	Epoch     uint64                 `json:"epoch,omitempty"`
@@ -59,6 +62,8 @@
 	Granted nutmegid.Tokens `json:"granted"`
 	Taken   nutmegid.Tokens `json:"taken,omitempty"`
 	Acked   nutmegid.Tokens `json:"acked"`
+	// Rate is what the holder spent in a second before its latest commit.
+	Rate float64 `json:"rate,omitempty"`
 	// Closed holds what each witness that closed the lease had acknowledged.
 	Closed map[nutmegid.Incarnation]nutmegid.Tokens `json:"closed,omitempty"`
 }
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -56,16 +56,22 @@
 
 // EntryBudgetSettings size the leases of prepaid tokens.
 type EntryBudgetSettings struct {
-	Horizon        Duration        `toml:"horizon"`
+	Horizon        Duration        `toml:"horizon"` // span of spend that a lease covers
+	Leased         float64         `toml:"leased"`  // share of a budget that is leased
+	Even           float64         `toml:"even"`    // share of the leases that is divided evenly
 	MinLeaseTokens nutmegid.Tokens `toml:"min_lease_tokens"`
 }
 
 // Defaults of the entry settings.
 const (
 	// DefaultEntryHorizon is the span of spend that a lease covers.
-	DefaultEntryHorizon = 14 * time.Second
+	DefaultEntryHorizon = 10 * time.Second
+	// DefaultEntryLeased is the share of a budget that is leased.
+	DefaultEntryLeased = 0.94
+	// DefaultEntryEven is the share of the leases that is divided evenly.
+	DefaultEntryEven = 0.25
 	// DefaultEntryMinLeaseTokens is the smallest lease that is asked for.
-	DefaultEntryMinLeaseTokens = 30_000
+	DefaultEntryMinLeaseTokens = 12_000
 	// DefaultStopTimeout is how long a stopping instance waits for running requests.
 	DefaultStopTimeout = 8 * time.Second
 	// DefaultMemoryMB is the memory that an instance may use where nothing is said.
@@ -80,7 +86,7 @@
 		Limits: EntryLimitSettings{
 			MemoryMB: DefaultMemoryMB, FileDescriptors: DefaultFileDescriptors, StopTimeout: Duration(DefaultStopTimeout),
 		},
-		Budget: EntryBudgetSettings{Horizon: Duration(DefaultEntryHorizon), MinLeaseTokens: DefaultEntryMinLeaseTokens},
+		Budget: EntryBudgetSettings{Horizon: Duration(DefaultEntryHorizon), Leased: DefaultEntryLeased, Even: DefaultEntryEven, MinLeaseTokens: DefaultEntryMinLeaseTokens},
 		Log:    LogSettings{Level: "info", Format: "json"},
 	}
 }
@@ -121,6 +127,8 @@
 	c.between("limits.file_descriptors", float64(s.Limits.FileDescriptors), minDescriptors, maxDescriptors)
 	c.positive("limits.stop_timeout", s.Limits.StopTimeout)
 	c.positive("budget.horizon", s.Budget.Horizon)
+	c.between("budget.leased", s.Budget.Leased, 0, 1)
+	c.between("budget.even", s.Budget.Even, 0, 1)
 	c.between("budget.min_lease_tokens", float64(s.Budget.MinLeaseTokens), 1, maxTokens)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json")
--- a/nutmegstore/defaults.go
+++ b/nutmegstore/defaults.go
@@ -24,9 +24,9 @@
 	watchSilence     = 3 // heartbeats without a message that end a watch
 	firstRewatch     = 50 * time.Millisecond
 	maxRewatch       = 2 * time.Second
-	maxEnvelopeBytes = 16 << 10 // around a value in an answer
-	maxExcerptBytes  = 200      // of an answer's text in an error
-	pollWait         = 20 * time.Second
+	maxEnvelopeBytes = 16 << 10                // around a value in an answer
+	maxExcerptBytes  = 200                     // of an answer's text in an error
+	pollWait         = 1800 * time.Millisecond // a watch that has gone deaf is heard of by its silence only
 	maxListBytes     = 256 << 20
 
 	slowDownFactor     = 0.5  // of the allowance, at each refusal for too many calls
