--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -37,6 +37,7 @@
 	rateWeight     = 0.15 // of the newest commit interval
 	acquireTimeout = 300 * time.Millisecond
 	commitTimeout  = 1500 * time.Millisecond
+	maxBackoff     = 700 * time.Millisecond
 	retryAfter     = 400 * time.Millisecond
 )
 
@@ -83,6 +84,7 @@
 		Policy:         nutmegbudget.FairShare{Horizon: cfg.Horizon, Leased: cfg.Leased, Even: cfg.Even, MinLease: cfg.MinLease},
 		RateWeight:     rateWeight,
 		CommitTimeout:  commitTimeout,
+		MaxBackoff:     maxBackoff,
 		AcquireTimeout: acquireTimeout,
 		Prepare:        m.prepare,
 		OnCommit:       cfg.OnCommit,
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -285,7 +285,7 @@
 	}
 	if nutmegstore.IsKind(err, nutmegstore.KindUnknown) || nutmegstore.IsKind(err, nutmegstore.KindUnavailable) {
 		c.failures++
-		limit := min(c.holder.cfg.CommitInterval<<min(c.failures, 10), maxBackoff)
+		limit := min(c.holder.cfg.CommitInterval<<min(c.failures, maxBackoffSteps), c.holder.cfg.MaxBackoff)
 		c.retryAt = time.Now().Add(limit/2 + time.Duration(rand.Int64N(int64(limit/2)+1)))
 	}
 }
--- a/nutmegbudget/defaults.go
+++ b/nutmegbudget/defaults.go
@@ -7,6 +7,8 @@
 	DefaultCommitInterval = time.Second
 	// DefaultCommitTimeout bounds one commit.
 	DefaultCommitTimeout = 5 * time.Second
+	// DefaultMaxBackoff bounds the pause after failed commits.
+	DefaultMaxBackoff = 10 * time.Second
 	// DefaultHorizon is the span of spend that a lease covers while plenty is left.
 	DefaultHorizon = 10 * time.Minute
 	// DefaultMinLease is the smallest lease that the rate-proportional policy asks for, in tokens.
@@ -24,15 +26,15 @@
 	// DefaultGatherTime is how long a keeper gathers batches for one commit.
 	DefaultGatherTime = 200 * time.Millisecond
 
-	maxTokens          = 1 << 53 // tokens; amounts stay exact in JSON numbers
-	idleRate           = 0.01    // tokens a second; below it an instance may be idle
-	idleTicks          = 10      // commit intervals without use that make an instance idle
-	keepFactor         = 2       // times the target that is kept before tokens return
-	maxReleasedHolders = 64      // of a shard; older ones become final write-offs
-	maxAskedPeers      = 8       // peers that one request asks for tokens
-	maxUnsettledIDs    = 4096    // transfers of one account; more are refused
-	minSlice           = 1_000   // tokens; the least that witnesses acknowledge ahead
-	maxBackoff         = 10 * time.Second
+	maxTokens          = 1 << 53                // tokens; amounts stay exact in JSON numbers
+	idleRate           = 0.01                   // tokens a second; below it an instance may be idle
+	idleTicks          = 10                     // commit intervals without use that make an instance idle
+	keepFactor         = 2                      // times the target that is kept before tokens return
+	maxReleasedHolders = 64                     // of a shard; older ones become final write-offs
+	maxAskedPeers      = 8                      // peers that one request asks for tokens
+	maxUnsettledIDs    = 4096                   // transfers of one account; more are refused
+	minSlice           = 1_000                  // tokens; the least that witnesses acknowledge ahead
+	maxBackoffSteps    = 10                     // doublings of the commit interval
 	dryTime            = 200 * time.Millisecond // after a fruitless search for tokens
 	lookCommits        = 3                      // commits that look for a transfer whose answer was lost
 	stopAttempts       = 8
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -51,6 +51,7 @@
 	Keeper         *Keeper                          // commits for others; none when nil
 	CommitInterval time.Duration                    // DefaultCommitInterval when zero
 	CommitTimeout  time.Duration                    // DefaultCommitTimeout when zero
+	MaxBackoff     time.Duration                    // between failed commits; DefaultMaxBackoff when zero
 	AcquireTimeout time.Duration                    // DefaultAcquireTimeout when zero
 	AskTimeout     time.Duration                    // DefaultAskTimeout when zero
 	RateWeight     float64                          // of the newest interval in the spend rate; DefaultRateWeight when zero
@@ -106,6 +107,9 @@
 	if cfg.CommitTimeout == 0 {
 		cfg.CommitTimeout = DefaultCommitTimeout
 	}
+	if cfg.MaxBackoff == 0 {
+		cfg.MaxBackoff = DefaultMaxBackoff
+	}
 	if cfg.AcquireTimeout == 0 {
 		cfg.AcquireTimeout = DefaultAcquireTimeout
 	}
