--- a/internal/fleet/nutmegfollow/upstreams.go
+++ b/internal/fleet/nutmegfollow/upstreams.go
@@ -9,9 +9,16 @@
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
-// afterGapGrace is how long entries that vanished while the store could not be
-// watched are still used: living upstreams write theirs again by then.
-const afterGapGrace = 1800 * time.Millisecond
+const (
+	// afterGapGrace is how long entries that vanished while the store was away
+	// are still used: living upstreams write theirs again by then.
+	afterGapGrace = 1700 * time.Millisecond
+	// lapseGap is the shortest outage in which entries of living upstreams
+	// lapse: they are renewed more often than that.
+	lapseGap = 2500 * time.Millisecond
+	// expiryPause is the time between two looks at entries that nobody waits for.
+	expiryPause = time.Minute
+)
 
 // UpstreamsConfig configures a follower of upstreams.
 type UpstreamsConfig struct {
@@ -73,7 +80,7 @@
 	watch := &watch{store: u.cfg.Store, kind: u.cfg.Kind, batches: u.batches, done: make(chan struct{})}
 	go watch.run(ctx)
 	defer func() { <-watch.done }()
-	expiry := time.NewTimer(afterGapGrace)
+	expiry := time.NewTimer(expiryPause)
 	defer expiry.Stop()
 	for {
 		select {
@@ -81,12 +88,9 @@
 			return
 		case b := <-u.batches:
 			u.entries.take(b, time.Now())
-			expiry.Reset(afterGapGrace)
 		case <-expiry.C:
-			if !u.entries.expire(time.Now()) {
-				continue
-			}
 		}
+		expiry.Reset(u.entries.expire(time.Now()))
 		u.cfg.View.SetUpstreams(u.entries.at, u.entries.known)
 	}
 }
@@ -130,7 +134,7 @@
 
 // take brings changes into the entries.
 func (e *entries) take(b nutmegstore.Batch, now time.Time) {
-	if b.AfterGap {
+	if b.Gap >= lapseGap {
 		e.gapEnd = now
 	}
 	e.at = max(e.at, b.At)
@@ -178,17 +182,18 @@
 	e.tell(UpstreamChange{Upstream: id, Version: version, What: UpstreamGone})
 }
 
-// expire forgets entries that did not come back and says whether there were any.
-func (e *entries) expire(now time.Time) bool {
-	expired := false
+// expire forgets entries that did not come back in time and returns when to
+// look again.
+func (e *entries) expire(now time.Time) time.Duration {
+	next := expiryPause
 	for id, until := range e.missing {
 		if now.Before(until) {
+			next = min(next, until.Sub(now))
 			continue
 		}
 		delete(e.missing, id)
 		delete(e.known, id)
 		e.tell(UpstreamChange{Upstream: id, Version: e.at, What: UpstreamGone})
-		expired = true
 	}
-	return expired
+	return next
 }
--- a/nutmegstore/watch.go
+++ b/nutmegstore/watch.go
@@ -89,8 +89,9 @@
 type Batch struct {
 	Objects []Object
 	At      nutmegid.Version // of the store; 0 where it is not told
-	// AfterGap says that the store could not be watched since the last batch.
-	AfterGap bool
+	// Gap is how long the store could not be watched before the batch; zero
+	// where the last look at it was a good one.
+	Gap time.Duration
 }
 
 // Follow keeps fn told of the objects of a kind until ctx ends: of each present
@@ -119,7 +120,8 @@
 	prefix string
 	fn     func(Batch)
 	known  map[string]nutmegid.Version
-	gap    bool // the store could not be watched since the last batch
+	gap    bool      // the last look at the store failed
+	seen   time.Time // of the last good look
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -197,13 +199,18 @@
 
 // tell passes on what is newer than the known versions.
 func (f *follower) tell(objects []Object, at nutmegid.Version) {
-	b := Batch{At: at, AfterGap: f.gap}
+	b := Batch{At: at}
+	now := time.Now()
+	if f.gap && !f.seen.IsZero() {
+		b.Gap = now.Sub(f.seen)
+	}
+	f.seen = now
 	for _, o := range objects {
 		if strings.HasPrefix(o.Key.Name, f.prefix) && f.newer(o) {
 			b.Objects = append(b.Objects, o)
 		}
 	}
-	if len(b.Objects) > 0 || b.AfterGap {
+	if len(b.Objects) > 0 || b.Gap > 0 {
 		f.fn(b)
 	}
 	f.gap = false
