Refuse at a stopping instance what can't end before its end

Cause: in a zone with few instances the balancer goes on sending to a stopping one; streams taken six seconds after SIGTERM were cut at its end (LOST).

--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -12,6 +12,11 @@
 	balancerTime = 2600 * time.Millisecond // until the balancer sends nothing new
 	idlePoll     = 50 * time.Millisecond
 
+	stoppingRetry   = 50 * time.Millisecond
+	plainTime       = 700 * time.Millisecond // of a call without tokens
+	outputTokenTime = 12 * time.Millisecond  // at a busy engine
+	inputTokenTime  = 40 * time.Microsecond  // at a busy engine
+
 	headerTimeout   = 6 * time.Second
 	callerIdle      = 40 * time.Second
 	writeTimeout    = 40 * time.Second
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -86,10 +86,10 @@
 
 	callers   *server
 	readiness *server
-	exposed   *server // metrics; nil where the address is taken
-	stopping  atomic.Bool
-	running   atomic.Int64 // requests in progress
-	bodyBytes atomic.Int64 // of requests in progress
+	exposed   *server                  // metrics; nil where the address is taken
+	stopping  atomic.Pointer[stopping] // nil until the instance stops
+	running   atomic.Int64             // requests in progress
+	bodyBytes atomic.Int64             // of requests in progress
 	endRuns   context.CancelCauseFunc
 	runs      context.Context // ends when running requests are cut
 	unfollow  context.CancelFunc
@@ -210,14 +210,15 @@
 
 // Ready says whether the instance takes new callers.
 func (e *Entry) Ready() bool {
-	return !e.stopping.Load() && e.view.Config() != nil && len(e.view.Upstreams().ByID) > 0
+	return e.stopping.Load() == nil && e.view.Config() != nil && len(e.view.Upstreams().ByID) > 0
 }
 
 // Stop ends the instance gracefully within ctx.
 func (e *Entry) Stop(ctx context.Context) error {
-	e.stopping.Store(true)
+	s := newStopping(time.Now(), time.Duration(e.cfg.Settings.Limits.StopTimeout)-finishTime)
+	e.stopping.Store(s)
 	e.event("stop").WithField("running", e.running.Load()).Info("instance stops")
-	serving, cancel := context.WithTimeout(ctx, time.Duration(e.cfg.Settings.Limits.StopTimeout)-finishTime)
+	serving, cancel := context.WithDeadline(ctx, s.end)
 	defer cancel()
 	e.awaitIdle(serving)
 	failed := e.callers.stop(serving)
--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -18,7 +18,7 @@
 	arrived := time.Now()
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	if e.stopping.Load() {
+	if e.stopping.Load() != nil {
 		w.Header()["Connection"] = []string{"close"}
 	}
 	in, err := e.cfg.Platform.Door.Decode(r)
@@ -87,6 +87,11 @@
 	if !ok {
 		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonNoUpstream, Detail: "route " + string(route.Name) + " has no service"}
 	}
+	if s := e.stopping.Load(); s != nil {
+		if refusal := s.refuse(call); refusal != nil {
+			return nil, refusal
+		}
+	}
 	return call, nil
 }
 
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -127,6 +127,7 @@
 	ReasonCrashing      Reason = "crashes_upstreams"
 	ReasonCallerLeft    Reason = "caller_left"
 	ReasonMemory        Reason = "out_of_memory"
+	ReasonStopping      Reason = "instance_stops"
 	ReasonAnswered      Reason = "answered"
 	ReasonAnswerBroken  Reason = "answer_broken_off"
 	ReasonCallerStalled Reason = "caller_not_reading"
