--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -31,12 +31,15 @@
 	DefaultLeased = 0.94
 	// DefaultEven is the share of the leases that is divided evenly.
 	DefaultEven = 0.25
-	// DefaultMinLease is the smallest lease that is asked for, in tokens.
-	DefaultMinLease = 12_000
+	// DefaultSpread is the size of the request that a typical token belongs to.
+	DefaultSpread = 30_000
 
-	rateWeight     = 0.15 // of the newest commit interval
+	rateWeight     = 0.15                    // of the newest commit interval
+	commitInterval = 1000 * time.Millisecond // each commit is two calls
+	dryTime        = 300 * time.Millisecond
 	acquireTimeout = 300 * time.Millisecond
 	commitTimeout  = 1500 * time.Millisecond
+	askTimeout     = 100 * time.Millisecond // for one peer's tokens
 	maxBackoff     = 700 * time.Millisecond
 	retryAfter     = 400 * time.Millisecond
 )
@@ -48,11 +51,13 @@
 	View        *nutmegview.View
 	Incarnation nutmegid.Incarnation
 	Instance    nutmegid.Instance
-	Horizon     time.Duration                  // DefaultHorizon when zero
-	Leased      float64                        // DefaultLeased when zero
-	Even        float64                        // DefaultEven when zero
-	MinLease    nutmegid.Tokens                // DefaultMinLease when zero
-	OnCommit    func(c nutmegbudget.Committed) // nil for none
+	Horizon     time.Duration                                       // DefaultHorizon when zero
+	Leased      float64                                             // DefaultLeased when zero
+	Even        float64                                             // DefaultEven when zero
+	Spread      nutmegid.Tokens                                     // DefaultSpread when zero
+	Peers       nutmegbudget.Peers                                  // that tokens are asked of; nil for none
+	OnCommit    func(c nutmegbudget.Committed)                      // nil for none
+	OnTransfer  func(id nutmegid.BudgetID, t nutmegbudget.Transfer) // nil for none
 }
 
 // Meter reserves and settles the tokens of workspaces.
@@ -72,16 +77,26 @@
 	if cfg.Even == 0 {
 		cfg.Even = DefaultEven
 	}
-	if cfg.MinLease == 0 {
-		cfg.MinLease = DefaultMinLease
+	if cfg.Spread == 0 {
+		cfg.Spread = DefaultSpread
 	}
 	m := &Meter{cfg: cfg}
+	terms := nutmegbudget.Terms{
+		Policy: nutmegbudget.FairShare{Horizon: cfg.Horizon, Leased: cfg.Leased, Even: cfg.Even, Spread: cfg.Spread},
+		Share:  cfg.Peers != nil,
+	}
 	m.holder = nutmegbudget.NewHolder(nutmegbudget.HolderConfig{
 		Writer:         cfg.Writer,
 		Incarnation:    cfg.Incarnation,
 		Instance:       cfg.Instance,
 		Shards:         1,
-		Policy:         nutmegbudget.FairShare{Horizon: cfg.Horizon, Leased: cfg.Leased, Even: cfg.Even, MinLease: cfg.MinLease},
+		Terms:          func(nutmegid.BudgetID) nutmegbudget.Terms { return terms },
+		Peers:          cfg.Peers,
+		StoreUp:        cfg.StoreUp,
+		AskTimeout:     askTimeout,
+		DryTime:        dryTime,
+		CommitInterval: commitInterval,
+		OnTransfer:     cfg.OnTransfer,
 		RateWeight:     rateWeight,
 		CommitTimeout:  commitTimeout,
 		MaxBackoff:     maxBackoff,
@@ -122,9 +137,6 @@
 	if r, ok := m.holder.Reserve(id, "", n); ok {
 		return r, nil
 	}
-	if !m.cfg.StoreUp() {
-		return nil, unreachable("the store is away and the lease is used up")
-	}
 	r, err := m.holder.Acquire(ctx, id, "", n)
 	switch {
 	case err == nil:
@@ -135,6 +147,11 @@
 	return nil, unreachable(err.Error())
 }
 
+// Give answers a peer's request for tokens.
+func (m *Meter) Give(ctx context.Context, ask nutmegbudget.Ask) nutmegid.Tokens {
+	return m.holder.Give(ctx, ask)
+}
+
 func unreachable(detail string) *nutmegcall.Refusal {
 	return &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudgetUnknown, RetryAfter: retryAfter, Detail: detail}
 }
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -26,8 +26,6 @@
 	bodyMemoryShare = 0.25             // of the memory, for the bodies of requests in progress
 	noConfigRetry   = 300 * time.Millisecond
 
-	instanceKind     = "nutmegwind_instances"
-	instancesRefresh = 20 * time.Second
-	registerTimeout  = 5 * time.Second
-	registerPause    = 500 * time.Millisecond
+	storeSilent   = 2800 * time.Millisecond // without a good answer, the store counts as away
+	askPeersPause = 600 * time.Millisecond
 )
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -28,6 +28,7 @@
 
 	"github.com/nutmegwind/nutmegwind/internal/budget/nutmegmeter"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegfollow"
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegroster"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
@@ -77,7 +78,7 @@
 	view      *nutmegview.View
 	config    *nutmegfollow.Config
 	upstreams *nutmegfollow.Upstreams
-	instances *instances
+	roster    *nutmegroster.Roster
 	placer    *nutmegplace.Placer
 	pool      *nutmegconn.Pool
 	retries   *nutmegretry.Budget
@@ -93,6 +94,8 @@
 	endRuns   context.CancelCauseFunc
 	runs      context.Context // ends when running requests are cut
 	unfollow  context.CancelFunc
+
+	askedPeers chan struct{} // closed when the loop that asks peers has ended
 }
 
 // New builds an entry instance that does not listen yet.
@@ -106,6 +109,7 @@
 		metrics:     metrics.NewRegistry(),
 		start:       time.Now(),
 		view:        nutmegview.New(),
+		askedPeers:  make(chan struct{}),
 	}
 	e.log = cfg.Log.WithFields(logrus.Fields{"instance": cfg.Settings.Instance.Name, "incarnation": e.incarnation})
 	e.runs, e.endRuns = context.WithCancelCause(context.Background())
@@ -129,6 +133,7 @@
 		WritesPerSecond: s.Store.WritesPerSecond * storeShare,
 		ReadsPerSecond:  s.Store.ReadsPerSecond * storeShare,
 		Metrics:         e.metrics,
+		SilentAfter:     storeSilent,
 		OnState:         e.storeChanged,
 	})
 	e.writer = nutmegstore.NewWriter(e.client, e.incarnation)
@@ -138,12 +143,17 @@
 	e.upstreams = nutmegfollow.NewUpstreams(nutmegfollow.UpstreamsConfig{
 		Store: e.client, Kind: e.cfg.Platform.UpstreamKind, Decode: e.cfg.Platform.DecodeUpstream, View: e.view, OnChange: e.upstreamChanged,
 	})
-	e.instances = newInstances(e.client, e.writer, nutmegview.Instance{
-		Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
-	}, e.log)
+	e.roster = nutmegroster.New(nutmegroster.Config{
+		Client: e.client, Writer: e.writer, Dial: dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
+		Budgets: budgetServer{e}, Library: library{e},
+		Self: nutmegview.Instance{
+			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
+		},
+	})
 	e.meter = nutmegmeter.New(nutmegmeter.Config{
 		Writer: e.writer, StoreUp: e.client.Up, View: e.view, Incarnation: e.incarnation, Instance: s.Instance.Name,
-		Horizon: time.Duration(s.Budget.Horizon), Leased: s.Budget.Leased, Even: s.Budget.Even, MinLease: s.Budget.MinLeaseTokens, OnCommit: e.committed,
+		Horizon: time.Duration(s.Budget.Horizon), Leased: s.Budget.Leased, Even: s.Budget.Even, Spread: s.Budget.SpreadTokens, OnCommit: e.committed,
+		Peers: e.roster, OnTransfer: e.received,
 	})
 }
 
@@ -159,7 +169,7 @@
 	})
 	e.relay = nutmegrelay.New(nutmegrelay.Config{
 		Wire: e.cfg.Platform.Wire, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view,
-		Instances: e.instances.count, Decided: e.decided, Moment: e.moment,
+		Instances: e.roster.Count, Decided: e.decided, Moment: e.moment,
 	})
 	e.view.OnApply(e.placer.SetConfig)
 	e.view.OnApply(e.configApplied)
@@ -183,11 +193,18 @@
 		_ = readiness.Close()
 		return err
 	}
+	peers, err := listen("listen.peers", l.Peers)
+	if err != nil {
+		_ = readiness.Close()
+		_ = callers.Close()
+		return err
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	e.unfollow = cancel
 	e.config.Start(ctx)
 	e.upstreams.Start(ctx)
-	e.instances.start(ctx)
+	e.roster.Start(ctx, peers)
+	go e.askPeersLoop(ctx)
 	e.meter.Start()
 	e.pool.Start()
 	e.readiness = serve(readiness, e.readinessHandler(), e.log)
@@ -227,6 +244,8 @@
 	defer cancelFinish()
 	failed = errors.Join(failed, e.meter.Stop(finish))
 	e.unfollow()
+	<-e.askedPeers
+	e.roster.Stop()
 	e.pool.Stop()
 	e.readiness.kill()
 	if e.exposed != nil {
--- a/internal/instance/nutmegentry/journal.go
+++ b/internal/instance/nutmegentry/journal.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
@@ -59,6 +60,16 @@
 	}).Info("a lease was committed")
 }
 
+func (e *Entry) received(id nutmegid.BudgetID, t nutmegbudget.Transfer) {
+	e.event("budget_received").WithFields(logrus.Fields{
+		"budget": id, "giver": t.Giver, "tokens": t.Tokens, "transfer": t.ID,
+	}).Info("a peer gave tokens")
+}
+
+func (e *Entry) instancesChanged(n int) {
+	e.event("instances_changed").WithField("instances", n).Info("the list of instances has changed")
+}
+
 // decided logs one step in a request's life.
 func (e *Entry) decided(c *nutmegcall.Call, d nutmegrelay.Decision) {
 	e.count("requests_" + string(d.Kind))
--- /dev/null
+++ b/internal/instance/nutmegentry/peers.go
@@ -0,0 +1,91 @@
+package nutmegentry
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
+)
+
+// budgetServer answers peers that ask for tokens.
+type budgetServer struct {
+	entry *Entry
+}
+
+// Give implements nutmegpeer.Budgets.
+func (b budgetServer) Give(ctx context.Context, ask nutmegpeer.TransferAsk) nutmegid.Tokens {
+	given := b.entry.meter.Give(ctx, nutmegbudget.Ask(ask))
+	b.entry.count("budget_asks_of_peers")
+	if given == 0 {
+		return 0
+	}
+	b.entry.event("budget_gave").WithFields(logrus.Fields{
+		"budget": ask.Budget, "receiver": ask.Receiver, "need": ask.Need, "given": given, "transfer": ask.Transfer,
+	}).Info("a peer was given tokens")
+	return given
+}
+
+// Acknowledge implements nutmegpeer.Budgets. Leases are not witnessed here.
+func (budgetServer) Acknowledge(nutmegpeer.SliceAsk) bool {
+	return false
+}
+
+// Commit implements nutmegpeer.Budgets. Instances write to the store themselves.
+func (budgetServer) Commit(context.Context, int, []byte) ([]byte, error) {
+	return nil, errNoShards
+}
+
+// library answers peers that ask for the configuration in force.
+type library struct {
+	entry *Entry
+}
+
+// Revision implements nutmegpeer.Library.
+func (l library) Revision() (nutmegid.Revision, []byte) {
+	c := l.entry.view.Config()
+	if c == nil {
+		return 0, nil
+	}
+	return c.Revision, c.Raw
+}
+
+// Segment implements nutmegpeer.Library. A configuration is one piece here.
+func (library) Segment(context.Context, string) ([]byte, error) {
+	return nil, errNoSegments
+}
+
+// askPeersLoop takes the configuration from peers while the store is away.
+func (e *Entry) askPeersLoop(ctx context.Context) {
+	defer close(e.askedPeers)
+	ticker := time.NewTicker(askPeersPause)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !e.client.Up() {
+				e.askPeers(ctx)
+			}
+		}
+	}
+}
+
+func (e *Entry) askPeers(ctx context.Context) {
+	value, ok := e.roster.FetchConfig(ctx)
+	if !ok {
+		return
+	}
+	config, err := e.cfg.Platform.DecodeConfig(value)
+	if err != nil {
+		e.event("config_unreadable").WithError(err).Error("a peer's configuration can't be read; the present one stays")
+		return
+	}
+	if e.view.Apply(config) {
+		e.event("config_from_peer").WithField("revision", config.Revision).Info("a peer has told a newer configuration")
+	}
+}
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -36,6 +36,7 @@
 	remaining nutmegid.Tokens // of the budget, when last seen
 	unspent   nutmegid.Tokens // of the budget, when last seen; leases included
 	live      liveLeases      // when last seen
+	seenAt    time.Time
 	grant     nutmegid.Tokens // of the latest commit with a need
 	holders   int
 	rich      []nutmegid.Incarnation
@@ -106,6 +107,14 @@
 	return a.remaining >= n-a.free
 }
 
+// storeEmpty reports whether the store was seen without tokens of the budget a
+// moment ago.
+func (a *account) storeEmpty() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.known && a.remaining <= 0 && time.Since(a.seenAt) < recentLook
+}
+
 // hopeful reports whether another search for n tokens may succeed.
 func (a *account) hopeful(n nutmegid.Tokens) bool {
 	a.mu.Lock()
@@ -137,7 +146,7 @@
 	}
 	if now := time.Now(); now.After(a.dryUntil) || n < a.drySize {
 		a.drySize = n
-		a.dryUntil = now.Add(dryTime)
+		a.dryUntil = now.Add(a.committer.holder.cfg.DryTime)
 	}
 }
 
@@ -237,6 +246,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.known = s.Known
+	a.seenAt = time.Now()
 	if !s.Known {
 		a.look = 0
 		a.settling = 0
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -54,7 +54,11 @@
 	MaxBackoff     time.Duration                    // between failed commits; DefaultMaxBackoff when zero
 	AcquireTimeout time.Duration                    // DefaultAcquireTimeout when zero
 	AskTimeout     time.Duration                    // DefaultAskTimeout when zero
+	DryTime        time.Duration                    // after a fruitless search for tokens; DefaultDryTime when zero
 	RateWeight     float64                          // of the newest interval in the spend rate; DefaultRateWeight when zero
+	// StoreUp says whether the store answers; while it does not, only peers are
+	// asked for tokens. Always when nil.
+	StoreUp func() bool
 	// Prepare brings a shard up to date before each commit, for amounts that
 	// are configured elsewhere; nil for none. It may run several times.
 	Prepare func(s *Shard)
@@ -116,9 +120,15 @@
 	if cfg.AskTimeout == 0 {
 		cfg.AskTimeout = DefaultAskTimeout
 	}
+	if cfg.DryTime == 0 {
+		cfg.DryTime = DefaultDryTime
+	}
 	if cfg.RateWeight == 0 {
 		cfg.RateWeight = DefaultRateWeight
 	}
+	if cfg.StoreUp == nil {
+		cfg.StoreUp = func() bool { return true }
+	}
 	if cfg.Prepare == nil {
 		cfg.Prepare = func(*Shard) {}
 	}
@@ -220,7 +230,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AcquireTimeout)
 	defer cancel()
 	w, o := h.account(workspace), h.ownerAccount(owner)
-	withStore := true
+	withStore := h.cfg.StoreUp()
 	for round := range acquireRounds {
 		unreachable := errors.Join(h.refill(ctx, w, n, withStore), h.refill(ctx, o, n, withStore))
 		if r, ok := h.Reserve(workspace, owner, n); ok {
@@ -268,7 +278,7 @@
 	if !withStore || !a.storeCovers(n) {
 		h.askPeers(ctx, a, n)
 	}
-	if a.lacking(n) <= 0 || !withStore {
+	if a.lacking(n) <= 0 || !withStore || a.storeEmpty() {
 		return nil
 	}
 	err := h.askStore(ctx, a)
--- a/nutmegbudget/policy.go
+++ b/nutmegbudget/policy.go
@@ -1,6 +1,7 @@
 package nutmegbudget
 
 import (
+	"math"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -77,8 +78,10 @@
 	Leased float64
 	// Even is the share of the spend that is taken to be even over holders, 0
 	// to 1: the spend of a moment ago tells only so much of the next.
-	Even     float64
-	MinLease nutmegid.Tokens // tokens beyond the horizon's spend, for a large request
+	Even float64
+	// Spread is the size of a typical token's request: sizes vary widely, and a
+	// lease holds a standard deviation of the horizon's spend beyond its mean.
+	Spread nutmegid.Tokens
 }
 
 // Target implements Policy.
@@ -98,7 +101,8 @@
 	if v.TotalRate > 0 {
 		part = p.Even/holders + (1-p.Even)*min(v.Rate/v.TotalRate, 1)
 	}
-	want := part*v.TotalRate*p.Horizon.Seconds() + float64(p.MinLease)
+	mean := part * v.TotalRate * p.Horizon.Seconds()
+	want := mean + math.Sqrt(mean*float64(p.Spread)) + leastSpread*float64(p.Spread)
 	return nutmegid.Tokens(min(want, part*p.Leased*float64(v.Live)))
 }
 
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -12,6 +12,9 @@
 	Transfer nutmegid.TransferID
 	Budget   nutmegid.BudgetID
 	Receiver nutmegid.Incarnation
+	// Giver is the incarnation that is asked. A later one of the same instance
+	// gives nothing: the receiver would name the earlier one's lease.
+	Giver nutmegid.Incarnation
 	// Need is the least that helps; Want is what the receiver can use.
 	Need nutmegid.Tokens
 	Want nutmegid.Tokens
@@ -35,7 +38,7 @@
 // amount. The same transfer id gets the same amount again. A lost answer
 // strands the tokens until the receiver sees the transfer in the store.
 func (h *Holder) Give(ctx context.Context, ask Ask) nutmegid.Tokens {
-	if ask.Need <= 0 || ask.Receiver == h.cfg.Incarnation || ask.Transfer == "" {
+	if ask.Need <= 0 || ask.Receiver == h.cfg.Incarnation || ask.Giver != h.cfg.Incarnation || ask.Transfer == "" {
 		return 0
 	}
 	a := h.known(ask.Budget)
@@ -107,10 +110,11 @@
 	a.remember(id, m)
 	want := a.terms.Policy.Target(View{
 		Rate: a.rate, Held: a.held(), Need: lacking, Remaining: maxTokens, Prepaid: maxTokens, Holders: 1,
+		Live: maxTokens, TotalRate: a.live.rate, LiveHolders: a.live.holders,
 	}) - a.held()
 	a.mu.Unlock()
 	given, err := h.cfg.Peers.Ask(ctx, peer, Ask{
-		Transfer: id, Budget: a.id, Receiver: h.cfg.Incarnation, Need: lacking, Want: max(lacking, want),
+		Transfer: id, Budget: a.id, Receiver: h.cfg.Incarnation, Giver: peer, Need: lacking, Want: max(lacking, want),
 	})
 	h.answered(a, m, given, err)
 }
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -56,10 +56,11 @@
 
 // EntryBudgetSettings size the leases of prepaid tokens.
 type EntryBudgetSettings struct {
-	Horizon        Duration        `toml:"horizon"` // span of spend that a lease covers
-	Leased         float64         `toml:"leased"`  // share of a budget that is leased
-	Even           float64         `toml:"even"`    // share of the leases that is divided evenly
-	MinLeaseTokens nutmegid.Tokens `toml:"min_lease_tokens"`
+	Horizon Duration `toml:"horizon"` // span of spend that a lease covers
+	Leased  float64  `toml:"leased"`  // share of a budget that is leased
+	Even    float64  `toml:"even"`    // share of the leases that is divided evenly
+	// SpreadTokens is the size of the request that a typical token belongs to.
+	SpreadTokens nutmegid.Tokens `toml:"spread_tokens"`
 }
 
 // Defaults of the entry settings.
@@ -70,8 +71,8 @@
 	DefaultEntryLeased = 0.94
 	// DefaultEntryEven is the share of the leases that is divided evenly.
 	DefaultEntryEven = 0.25
-	// DefaultEntryMinLeaseTokens is the smallest lease that is asked for.
-	DefaultEntryMinLeaseTokens = 12_000
+	// DefaultEntrySpreadTokens is the size of the request that a typical token belongs to.
+	DefaultEntrySpreadTokens = 30_000
 	// DefaultStopTimeout is how long a stopping instance waits for running requests.
 	DefaultStopTimeout = 8 * time.Second
 	// DefaultMemoryMB is the memory that an instance may use where nothing is said.
@@ -86,7 +87,7 @@
 		Limits: EntryLimitSettings{
 			MemoryMB: DefaultMemoryMB, FileDescriptors: DefaultFileDescriptors, StopTimeout: Duration(DefaultStopTimeout),
 		},
-		Budget: EntryBudgetSettings{Horizon: Duration(DefaultEntryHorizon), Leased: DefaultEntryLeased, Even: DefaultEntryEven, MinLeaseTokens: DefaultEntryMinLeaseTokens},
+		Budget: EntryBudgetSettings{Horizon: Duration(DefaultEntryHorizon), Leased: DefaultEntryLeased, Even: DefaultEntryEven, SpreadTokens: DefaultEntrySpreadTokens},
 		Log:    LogSettings{Level: "info", Format: "json"},
 	}
 }
@@ -129,7 +130,7 @@
 	c.positive("budget.horizon", s.Budget.Horizon)
 	c.between("budget.leased", s.Budget.Leased, 0, 1)
 	c.between("budget.even", s.Budget.Even, 0, 1)
-	c.between("budget.min_lease_tokens", float64(s.Budget.MinLeaseTokens), 1, maxTokens)
+	c.between("budget.spread_tokens", float64(s.Budget.SpreadTokens), 1, maxTokens)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json")
 }
--- a/nutmegpeer/transfer.go
+++ b/nutmegpeer/transfer.go
@@ -13,6 +13,7 @@
 	Transfer nutmegid.TransferID
 	Budget   nutmegid.BudgetID
 	Receiver nutmegid.Incarnation
+	Giver    nutmegid.Incarnation
 	Need     nutmegid.Tokens // the least that helps
 	Want     nutmegid.Tokens // what the receiver can use
 }
@@ -38,6 +39,7 @@
 		Transfer: string(ask.Transfer),
 		Budget:   string(ask.Budget),
 		Receiver: string(ask.Receiver),
+		Giver:    string(ask.Giver),
 		Need:     int64(ask.Need),
 		Want:     int64(ask.Want),
 	}
@@ -75,6 +77,7 @@
 		Transfer: nutmegid.TransferID(r.GetTransfer()),
 		Budget:   nutmegid.BudgetID(r.GetBudget()),
 		Receiver: nutmegid.Incarnation(r.GetReceiver()),
+		Giver:    nutmegid.Incarnation(r.GetGiver()),
 		Need:     nutmegid.Tokens(r.GetNeed()),
 		Want:     nutmegid.Tokens(r.GetWant()),
 	})
--- a/nutmegstore/client.go
+++ b/nutmegstore/client.go
@@ -51,6 +51,7 @@
 	ReadsPerSecond  float64          // DefaultReadsPerSecond when zero
 	WatchHeartbeat  time.Duration    // DefaultWatchHeartbeat when zero
 	Metrics         metrics.Registry // a private registry when nil
+	SilentAfter     time.Duration    // without a good answer, the platform counts as away; no limit when zero
 	OnState         func(up bool)    // called when an outage starts or ends
 }
 
@@ -73,15 +74,18 @@
 	fails  atomic.Int64
 	state  sync.Mutex
 	down   bool
+
+	answered time.Time // the last good answer
 }
 
 // NewClient returns a client for the platform at cfg.BaseURL.
 func NewClient(cfg ClientConfig) *Client {
 	cfg = withDefaults(cfg)
 	return &Client{
-		cfg:    cfg,
-		writes: newAllowance(cfg.WritesPerSecond),
-		reads:  newAllowance(cfg.ReadsPerSecond),
+		cfg:      cfg,
+		writes:   newAllowance(cfg.WritesPerSecond),
+		reads:    newAllowance(cfg.ReadsPerSecond),
+		answered: time.Now(),
 	}
 }
 
@@ -111,11 +115,11 @@
 }
 
 // Up reports whether the platform answers: false from the third failure in a
-// row until the next success.
+// row, or after a long silence, until the next success.
 func (c *Client) Up() bool {
 	c.state.Lock()
 	defer c.state.Unlock()
-	return !c.down
+	return !c.down && (c.cfg.SilentAfter == 0 || time.Since(c.answered) < c.cfg.SilentAfter)
 }
 
 // Get reads one object.
@@ -346,6 +350,9 @@
 	c.state.Lock()
 	changed := c.down != down
 	c.down = down
+	if !down {
+		c.answered = time.Now()
+	}
 	c.state.Unlock()
 	if changed && c.cfg.OnState != nil {
 		c.cfg.OnState(!down)
--- a/nutmegstore/defaults.go
+++ b/nutmegstore/defaults.go
@@ -23,7 +23,7 @@
 	outageAfterFails = 3 // failures in a row that make an outage
 	watchSilence     = 3 // heartbeats without a message that end a watch
 	firstRewatch     = 50 * time.Millisecond
-	maxRewatch       = 2 * time.Second
+	maxRewatch       = time.Second
 	maxEnvelopeBytes = 16 << 10                // around a value in an answer
 	maxExcerptBytes  = 200                     // of an answer's text in an error
 	pollWait         = 1800 * time.Millisecond // a watch that has gone deaf is heard of by its silence only
