Keep tokens for urgent requests while the store has none to give

Cause: in cuts and after a final kill, long plans (12,000 tokens) used up what short urgent requests (1,100 tokens) needed. Conclusion: kept; the operator's priorities decide who goes first when tokens are short.

--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -5,7 +5,7 @@
 //
 //	meter := nutmegmeter.New(nutmegmeter.Config{Writer: writer, View: view, Incarnation: inc, Instance: name})
 //	meter.Start()
-//	reservation, refusal := meter.Reserve(ctx, workspace, 1540)
+//	reservation, refusal := meter.Reserve(ctx, call)
 //	reservation.Settle(1212)
 //	err := meter.Stop(ctx) // returns the leases
 package nutmegmeter
@@ -41,6 +41,8 @@
 	commitTimeout  = 1500 * time.Millisecond
 	askTimeout     = 100 * time.Millisecond // for one peer's tokens
 	maxBackoff     = 700 * time.Millisecond
+	mostUrgent     = 0               // priority of routes whose requests go first
+	urgentSpan     = 8 * time.Second // of urgent requests that tokens are kept for
 	retryAfter     = 400 * time.Millisecond
 )
 
@@ -64,6 +66,7 @@
 type Meter struct {
 	cfg    Config
 	holder *nutmegbudget.Holder
+	demand *demand
 }
 
 // New returns a meter without leases.
@@ -80,7 +83,7 @@
 	if cfg.Spread == 0 {
 		cfg.Spread = DefaultSpread
 	}
-	m := &Meter{cfg: cfg}
+	m := &Meter{cfg: cfg, demand: newDemand()}
 	terms := nutmegbudget.Terms{
 		Policy: nutmegbudget.FairShare{Horizon: cfg.Horizon, Leased: cfg.Leased, Even: cfg.Even, Spread: cfg.Spread},
 		Share:  cfg.Peers != nil,
@@ -130,14 +133,22 @@
 	return m.holder.Stop(ctx)
 }
 
-// Reserve implements nutmegrelay.Budget. While the store is away only what is
-// leased already can be reserved.
-func (m *Meter) Reserve(ctx context.Context, w nutmegid.Workspace, n nutmegid.Tokens) (nutmegrelay.Reservation, *nutmegcall.Refusal) {
-	id := nutmegid.WorkspaceBudget(w)
-	if r, ok := m.holder.Reserve(id, "", n); ok {
+// Reserve implements nutmegrelay.Budget. While the store has nothing to give,
+// what urgent requests will need is kept from the others.
+func (m *Meter) Reserve(ctx context.Context, call *nutmegcall.Call) (nutmegrelay.Reservation, *nutmegcall.Refusal) {
+	id, n := nutmegid.WorkspaceBudget(call.Workspace), call.Prompt.Bound()
+	urgent := call.Route.Priority == mostUrgent
+	if urgent {
+		m.demand.note(call.Workspace, n, call.Arrived)
+	}
+	var floor nutmegid.Tokens
+	if !urgent && m.holder.Short(id) {
+		floor = m.demand.expect(call.Workspace, urgentSpan, call.Arrived)
+	}
+	if r, ok := m.holder.ReserveAbove(id, "", n, floor); ok {
 		return r, nil
 	}
-	r, err := m.holder.Acquire(ctx, id, "", n)
+	r, err := m.holder.AcquireAbove(ctx, id, "", n, floor)
 	switch {
 	case err == nil:
 		return r, nil
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -73,7 +73,8 @@
 
 // Budget holds the prepaid tokens of workspaces.
 type Budget interface {
-	Reserve(ctx context.Context, w nutmegid.Workspace, n nutmegid.Tokens) (Reservation, *nutmegcall.Refusal)
+	// Reserve holds the most that a call can use.
+	Reserve(ctx context.Context, call *nutmegcall.Call) (Reservation, *nutmegcall.Refusal)
 }
 
 // Decision is one step in a request's life, for the log.
@@ -143,7 +144,7 @@
 	defer cancel()
 	run := &run{relay: r, call: call, out: out}
 	if call.Metered && call.Prompt.Bound() > 0 {
-		reservation, refusal := r.cfg.Budget.Reserve(ctx, call.Workspace, call.Prompt.Bound())
+		reservation, refusal := r.cfg.Budget.Reserve(ctx, call)
 		if refusal != nil {
 			return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
 		}
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -54,11 +54,11 @@
 	asking   bool // of a receiver: the giver's answer is awaited
 }
 
-// take moves n free tokens to reserved.
-func (a *account) take(n nutmegid.Tokens) bool {
+// take moves n free tokens to reserved and leaves at least floor free.
+func (a *account) take(n, floor nutmegid.Tokens) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.free < n || a.committer.closed.Load() {
+	if a.free < n+floor || a.committer.closed.Load() {
 		return false
 	}
 	a.free -= n
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -199,14 +199,20 @@
 // Reserve takes n tokens from the local leases on both levels, or none. An
 // empty owner leaves that level out.
 func (h *Holder) Reserve(workspace, owner nutmegid.BudgetID, n nutmegid.Tokens) (Reservation, bool) {
+	return h.ReserveAbove(workspace, owner, n, 0)
+}
+
+// ReserveAbove is Reserve that leaves at least floor tokens of the workspace's
+// lease free, for requests that go first.
+func (h *Holder) ReserveAbove(workspace, owner nutmegid.BudgetID, n, floor nutmegid.Tokens) (Reservation, bool) {
 	if n < 0 {
 		return Reservation{}, false
 	}
 	w, o := h.account(workspace), h.ownerAccount(owner)
-	if !w.take(n) {
+	if !w.take(n, floor) {
 		return Reservation{}, false
 	}
-	if o != nil && !o.take(n) {
+	if o != nil && !o.take(n, 0) {
 		w.give(n)
 		return Reservation{}, false
 	}
@@ -218,7 +224,13 @@
 // KindBadAmount, KindExhausted, KindUnreachable, KindUnknownBudget or
 // KindReleased; all mean that nothing is reserved.
 func (h *Holder) Acquire(ctx context.Context, workspace, owner nutmegid.BudgetID, n nutmegid.Tokens) (Reservation, error) {
-	if r, ok := h.Reserve(workspace, owner, n); ok {
+	return h.AcquireAbove(ctx, workspace, owner, n, 0)
+}
+
+// AcquireAbove is Acquire that leaves at least floor tokens of the workspace's
+// lease free, for requests that go first.
+func (h *Holder) AcquireAbove(ctx context.Context, workspace, owner nutmegid.BudgetID, n, floor nutmegid.Tokens) (Reservation, error) {
+	if r, ok := h.ReserveAbove(workspace, owner, n, floor); ok {
 		return r, nil
 	}
 	if n < 0 || n > maxTokens {
@@ -232,8 +244,8 @@
 	w, o := h.account(workspace), h.ownerAccount(owner)
 	withStore := h.cfg.StoreUp()
 	for round := range acquireRounds {
-		unreachable := errors.Join(h.refill(ctx, w, n, withStore), h.refill(ctx, o, n, withStore))
-		if r, ok := h.Reserve(workspace, owner, n); ok {
+		unreachable := errors.Join(h.refill(ctx, w, n+floor, withStore), h.refill(ctx, o, n, withStore))
+		if r, ok := h.ReserveAbove(workspace, owner, n, floor); ok {
 			return r, nil
 		}
 		if unreachable != nil {
@@ -243,16 +255,16 @@
 		// that searched at once may each have found a part.
 		switch {
 		case ctx.Err() != nil:
-			return Reservation{}, h.shortage(workspace, owner, n)
-		case w.hopeful(n) && (o == nil || o.hopeful(n)):
-		case round < searchRounds && w.scattered(n) && (o == nil || o.scattered(n)):
+			return Reservation{}, h.shortage(workspace, owner, n+floor)
+		case w.hopeful(n+floor) && (o == nil || o.hopeful(n)):
+		case round < searchRounds && w.scattered(n+floor) && (o == nil || o.scattered(n)):
 			withStore = false
 			h.pause(ctx)
 		default:
-			return Reservation{}, h.shortage(workspace, owner, n)
+			return Reservation{}, h.shortage(workspace, owner, n+floor)
 		}
 	}
-	return Reservation{}, h.shortage(workspace, owner, n)
+	return Reservation{}, h.shortage(workspace, owner, n+floor)
 }
 
 // pause waits a random moment, so that searches do not collide again.
@@ -367,6 +379,11 @@
 	return h.byShard[shard]
 }
 
+// Short reports whether nothing can be had of the store for a budget now.
+func (h *Holder) Short(id nutmegid.BudgetID) bool {
+	return !h.cfg.StoreUp() || h.account(id).storeEmpty()
+}
+
 // Unspent returns the tokens of a budget that were not known to be spent at
 // this holder's latest commit, leases of all holders included.
 func (h *Holder) Unspent(id nutmegid.BudgetID) nutmegid.Tokens {
