--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -37,9 +37,9 @@
 	rateWeight     = 0.15                    // of the newest commit interval
 	commitInterval = 1000 * time.Millisecond // each commit is two calls
 	dryTime        = 300 * time.Millisecond
-	acquireTimeout = 300 * time.Millisecond
+	acquireTimeout = 60 * time.Millisecond // a refusal later than that keeps a caller from trying elsewhere
 	commitTimeout  = 1500 * time.Millisecond
-	askTimeout     = 100 * time.Millisecond // for one peer's tokens
+	askTimeout     = 25 * time.Millisecond // for one peer's tokens
 	maxBackoff     = 700 * time.Millisecond
 	mostUrgent     = 0               // priority of routes whose requests go first
 	urgentSpan     = 8 * time.Second // of urgent requests that tokens are kept for
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -103,18 +103,41 @@
 	<-c.turn
 }
 
-// commitNow commits for a request that waits. Requests that wait for the same
-// turn share the commit that begins after they came.
+// commitNow commits for a request that waits, and returns when the commit has
+// ended or ctx has. The commit itself goes on then: others wait for it, too.
 func (c *committer) commitNow(ctx context.Context) error {
-	mine := c.started.Load() + 1
-	if err := c.lock(ctx); err != nil {
+	w := &wantedCommit{committer: c, after: c.started.Load() + 1, ended: make(chan error, 1)}
+	go w.run()
+	select {
+	case err := <-w.ended:
 		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// wantedCommit is a commit that a request waits for. Requests that wait for the
+// same turn share the commit that begins after they came.
+type wantedCommit struct {
+	committer *committer
+	after     uint64 // the first commit that began after the request came
+	ended     chan error
+}
+
+func (w *wantedCommit) run() {
+	c := w.committer
+	ctx, cancel := context.WithTimeout(context.Background(), c.holder.cfg.CommitTimeout)
+	defer cancel()
+	if err := c.lock(ctx); err != nil {
+		w.ended <- err
+		return
 	}
 	defer c.unlock()
-	if c.answered >= mine {
-		return c.lastErr
+	if c.answered >= w.after {
+		w.ended <- c.lastErr
+		return
 	}
-	return c.commit(ctx, false)
+	w.ended <- c.commit(ctx, false)
 }
 
 func (c *committer) abandon() {
