--- a/cmd/internal/docs/docs_test.go
+++ b/cmd/internal/docs/docs_test.go
@@ -59,6 +59,14 @@
 	checkPage(t, "settings.md", settingKeys(reflect.TypeFor[nutmegconf.Settings](), ""))
 }
 
+func TestEveryEntrySettingIsDocumented(t *testing.T) {
+	checkPage(t, "settings.md", settingKeys(reflect.TypeFor[nutmegconf.EntrySettings](), ""))
+}
+
+func TestEveryOutcomeIsDocumented(t *testing.T) {
+	checkPage(t, "../OPERATIONS.md", constants(t, "Reason"))
+}
+
 func settingKeys(of reflect.Type, prefix string) []string {
 	var keys []string
 	for i := range of.NumField() {
@@ -158,9 +166,13 @@
 // inspect visits every node of the project's sources without tests.
 func inspect(t *testing.T, visit func(ast.Node)) {
 	t.Helper()
-	files, err := filepath.Glob(filepath.Join(root, "nutmeg*/*.go"))
-	if err != nil {
-		t.Fatal(err)
+	var files []string
+	for _, pattern := range []string{"nutmeg*/*.go", "internal/*/*/*.go"} {
+		found, err := filepath.Glob(filepath.Join(root, pattern))
+		if err != nil {
+			t.Fatal(err)
+		}
+		files = append(files, found...)
 	}
 	for _, name := range files {
 		if strings.HasSuffix(name, "_test.go") {
--- a/cmd/internal/layers/layers.go
+++ b/cmd/internal/layers/layers.go
@@ -18,4 +18,6 @@
 	"nutmegroute":  {"nutmegid"},
 	"nutmegpeer":   {"nutmegid", "nutmegtime"},
 	"nutmegstand":  {"nutmegid", "nutmegtime"},
+	"internal":     {"nutmegid", "nutmegstore", "nutmegbudget", "nutmegpeer", "nutmegconf"},
+	"platform":     {"nutmegid", "nutmegstore", "nutmegconf", "internal"},
 }
--- a/cmd/internal/layers/layers_test.go
+++ b/cmd/internal/layers/layers_test.go
@@ -5,6 +5,7 @@
 	"go/token"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strconv"
 	"strings"
 	"testing"
@@ -72,3 +73,43 @@
 	}
 	return found
 }
+
+// wireNames are names of the users' platform that only its adapter may know.
+var wireNames = regexp.MustCompile(`X-Nutmegwind-|Kv-From|Kv-Fetch|kv-events|hold-take|pathPrefix"|prepaid"|specification"|deletionPending`)
+
+// TestWireNamesStayInTheAdapter checks that no other source knows a name of the
+// platform's protocol.
+func TestWireNamesStayInTheAdapter(t *testing.T) {
+	var leaks []string
+	err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if d.IsDir() && d.Name() == "platform" {
+			return filepath.SkipDir
+		}
+		if d.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "layers_test.go") {
+			return nil
+		}
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return err
+		}
+		if name := wireNames.Find(text); name != nil && !ownField(path, string(name)) {
+			leaks = append(leaks, path+" knows "+string(name))
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatalf("sources could not be read: %v", err)
+	}
+	if diff := cmp.Diff([]string(nil), leaks); diff != "" {
+		t.Errorf("wire names outside the adapter (-want +got):\n%s", diff)
+	}
+}
+
+// ownField says whether a name is one of the project's own formats, too: an
+// amount is prepaid in its traces, budgets and command line.
+func ownField(path, name string) bool {
+	return name == `prepaid"` && !strings.Contains(path, "/internal/")
+}
--- a/cmd/nutmegwind/entry.go
+++ b/cmd/nutmegwind/entry.go
@@ -10,7 +10,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/instance/nutmegentry"
 	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegjournal"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
-	"github.com/nutmegwind/nutmegwind/platform"
+	nutmegplatform "github.com/nutmegwind/nutmegwind/platform"
 )
 
 const (
--- a/cmd/nutmegwind/main.go
+++ b/cmd/nutmegwind/main.go
@@ -21,7 +21,7 @@
 	"github.com/nutmegwind/nutmegwind/cmd/internal/cli"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegnode"
-	"github.com/nutmegwind/nutmegwind/platform"
+	nutmegplatform "github.com/nutmegwind/nutmegwind/platform"
 )
 
 const help = `NAME
--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -28,7 +28,7 @@
 	DefaultHorizon = 10 * time.Second
 	// DefaultLeased is the share of a budget that is leased. What stays in the
 	// store is out of reach while the store is away.
-	DefaultLeased = 0.94
+	DefaultLeased = 0.6
 	// DefaultEven is the share of the leases that is divided evenly.
 	DefaultEven = 0.25
 	// DefaultSpread is the size of the request that a typical token belongs to.
--- a/internal/traffic/nutmegconn/pool.go
+++ b/internal/traffic/nutmegconn/pool.go
@@ -189,9 +189,9 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
 	sent, err := c.write(r)
 	if err == nil {
-		var resp *http.Response
-		if resp, err = c.readAnswer(r); err == nil {
-			return newResponse(p, c, resp, stop), nil
+		var resp *Response
+		if resp, err = p.readAnswer(c, r, stop); err == nil {
+			return resp, nil
 		}
 	}
 	stop()
@@ -301,7 +301,7 @@
 
 // readAnswer reads the head of the request's own answer and skips a few
 // answers of earlier requests.
-func (c *conn) readAnswer(r Request) (*http.Response, error) {
+func (p *Pool) readAnswer(c *conn, r Request, stop func() bool) (*Response, error) {
 	for range maxStrays + 1 {
 		resp, err := http.ReadResponse(c.reader, r.HTTP)
 		if err != nil {
@@ -311,7 +311,7 @@
 			continue
 		}
 		if r.Belongs == nil || r.Belongs(resp) {
-			return resp, nil
+			return newResponse(p, c, resp, stop), nil
 		}
 		if err := skip(resp); err != nil {
 			return nil, err
--- a/internal/traffic/nutmegrelay/answer.go
+++ b/internal/traffic/nutmegrelay/answer.go
@@ -112,22 +112,13 @@
 // passStream passes a stream on, whole events only, so that a broken one can
 // go on at another upstream.
 func (r *run) passStream(ctx context.Context, t *nutmegplace.Ticket, resp *nutmegconn.Response) (attempt, error) {
-	cfg := r.relay.cfg
 	part := make([]byte, partBytes)
 	r.events.Reset()
 	for {
 		n, err := resp.Body.Read(part)
-		if n > 0 {
-			if whole := r.events.Add(part[:n]); len(whole) > 0 {
-				cfg.Placer.FirstEvent(t, cfg.Moment())
-				r.begin(resp)
-				if err := r.out.Write(whole); err != nil {
-					r.done(ctx, t, nutmegplace.ResultNeutral)
-					r.outcome.Reason = nutmegcall.ReasonCallerStalled
-					r.outcome.Detail = err.Error()
-					return attemptDone, nil
-				}
-			}
+		if n > 0 && !r.passEvents(t, resp, part[:n]) {
+			r.done(ctx, t, nutmegplace.ResultNeutral)
+			return attemptDone, nil
 		}
 		if errors.Is(err, io.EOF) {
 			return r.endStream(ctx, t, resp)
@@ -139,6 +130,24 @@
 	}
 }
 
+// passEvents passes on the events that a part of a stream ends, false where
+// the caller takes no more.
+func (r *run) passEvents(t *nutmegplace.Ticket, resp *nutmegconn.Response, part []byte) bool {
+	whole := r.events.Add(part)
+	if len(whole) == 0 {
+		return true
+	}
+	cfg := r.relay.cfg
+	cfg.Placer.FirstEvent(t, cfg.Moment())
+	r.begin(resp)
+	if err := r.out.Write(whole); err != nil {
+		r.outcome.Reason = nutmegcall.ReasonCallerStalled
+		r.outcome.Detail = err.Error()
+		return false
+	}
+	return true
+}
+
 // endStream ends a stream that its upstream has ended.
 func (r *run) endStream(ctx context.Context, t *nutmegplace.Ticket, resp *nutmegconn.Response) (attempt, error) {
 	if rest := r.events.Held(); len(rest) > 0 {
--- a/internal/traffic/nutmegrelay/run.go
+++ b/internal/traffic/nutmegrelay/run.go
@@ -35,16 +35,15 @@
 	out         Sink
 	reservation Reservation
 
-	avoid    []nutmegid.Upstream
-	tries    int
-	sends    int // that reached an upstream
-	runs     int // upstreams that may have run it
-	ran      nutmegcall.Ran
-	busy     int // upstreams that refused
-	events   nutmegevent.Splitter
-	began    bool // the answer's head was passed on
-	answered bool // an upstream has begun to answer
-	outcome  nutmegcall.Outcome
+	avoid   []nutmegid.Upstream
+	tries   int
+	sends   int // that reached an upstream
+	runs    int // upstreams that may have run it
+	ran     nutmegcall.Ran
+	busy    int // upstreams that refused
+	events  nutmegevent.Splitter
+	began   bool // the answer's head was passed on
+	outcome nutmegcall.Outcome
 }
 
 // attempt is how one sending ended.
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -68,7 +68,7 @@
 	// DefaultEntryHorizon is the span of spend that a lease covers.
 	DefaultEntryHorizon = 10 * time.Second
 	// DefaultEntryLeased is the share of a budget that is leased.
-	DefaultEntryLeased = 0.94
+	DefaultEntryLeased = 0.6
 	// DefaultEntryEven is the share of the leases that is divided evenly.
 	DefaultEntryEven = 0.25
 	// DefaultEntrySpreadTokens is the size of the request that a typical token belongs to.
