--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	meter := nutmegmeter.New(nutmegmeter.Config{Writer: writer, View: view, Incarnation: inc, Instance: name})
-//	meter.Start()
+//	meter.Open(shards)
 //	reservation, refusal := meter.Reserve(ctx, call)
 //	reservation.Settle(1212)
 //	err := meter.Stop(ctx) // returns the leases
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
@@ -34,8 +35,9 @@
 	// DefaultSpread is the size of the request that a typical token belongs to.
 	DefaultSpread = 30_000
 
-	rateWeight     = 0.15                    // of the newest commit interval
-	commitInterval = 1000 * time.Millisecond // each commit is two calls
+	rateWeight     = 0.15            // of the newest commit interval
+	settleAfter    = 4 * time.Second // of spend while the lease is large enough
+	commitInterval = 1000 * time.Millisecond
 	dryTime        = 300 * time.Millisecond
 	acquireTimeout = 60 * time.Millisecond // a refusal later than that keeps a caller from trying elsewhere
 	commitTimeout  = 1500 * time.Millisecond
@@ -65,8 +67,8 @@
 // Meter reserves and settles the tokens of workspaces.
 type Meter struct {
 	cfg    Config
-	holder *nutmegbudget.Holder
 	demand *demand
+	holder atomic.Pointer[nutmegbudget.Holder] // nil until the meter is open
 }
 
 // New returns a meter without leases.
@@ -83,54 +85,67 @@
 	if cfg.Spread == 0 {
 		cfg.Spread = DefaultSpread
 	}
-	m := &Meter{cfg: cfg, demand: newDemand()}
+	return &Meter{cfg: cfg, demand: newDemand()}
+}
+
+// Open begins to lease tokens of budgets that are spread over a number of
+// objects, on which all instances agree.
+func (m *Meter) Open(shards int) {
+	cfg := m.cfg
 	terms := nutmegbudget.Terms{
 		Policy: nutmegbudget.FairShare{Horizon: cfg.Horizon, Leased: cfg.Leased, Even: cfg.Even, Spread: cfg.Spread},
 		Share:  cfg.Peers != nil,
 	}
-	m.holder = nutmegbudget.NewHolder(nutmegbudget.HolderConfig{
+	holder := nutmegbudget.NewHolder(nutmegbudget.HolderConfig{
 		Writer:         cfg.Writer,
 		Incarnation:    cfg.Incarnation,
 		Instance:       cfg.Instance,
-		Shards:         1,
+		Shards:         shards,
 		Terms:          func(nutmegid.BudgetID) nutmegbudget.Terms { return terms },
 		Peers:          cfg.Peers,
 		StoreUp:        cfg.StoreUp,
 		AskTimeout:     askTimeout,
 		DryTime:        dryTime,
 		CommitInterval: commitInterval,
-		OnTransfer:     cfg.OnTransfer,
+		SettleAfter:    settleAfter,
 		RateWeight:     rateWeight,
 		CommitTimeout:  commitTimeout,
 		MaxBackoff:     maxBackoff,
 		AcquireTimeout: acquireTimeout,
-		Prepare:        m.prepare,
+		Prepare:        func(s *nutmegbudget.Shard, shard int) { m.prepare(s, shard, shards) },
 		OnCommit:       cfg.OnCommit,
+		OnTransfer:     cfg.OnTransfer,
 	})
-	return m
+	holder.Start()
+	m.holder.Store(holder)
 }
 
-// prepare brings the configured amounts into a shard.
-func (m *Meter) prepare(s *nutmegbudget.Shard) {
+// IsOpen says whether tokens can be reserved.
+func (m *Meter) IsOpen() bool {
+	return m.holder.Load() != nil
+}
+
+// prepare brings the configured amounts of a shard's budgets into it.
+func (m *Meter) prepare(s *nutmegbudget.Shard, shard, shards int) {
 	c := m.cfg.View.Config()
 	if c == nil {
 		return
 	}
 	amounts := make(map[nutmegid.BudgetID]nutmegid.Tokens)
 	for name, tokens := range c.Prepaid() {
-		amounts[nutmegid.WorkspaceBudget(name)] = tokens
+		if id := nutmegid.WorkspaceBudget(name); nutmegbudget.ShardOf(id, shards) == shard {
+			amounts[id] = tokens
+		}
 	}
 	s.SetAmounts(c.Revision, amounts)
 }
 
-// Start begins the commits.
-func (m *Meter) Start() {
-	m.holder.Start()
-}
-
 // Stop settles all spend and returns the leases to the store.
 func (m *Meter) Stop(ctx context.Context) error {
-	return m.holder.Stop(ctx)
+	if holder := m.holder.Load(); holder != nil {
+		return holder.Stop(ctx)
+	}
+	return nil
 }
 
 // Reserve implements nutmegrelay.Budget. While the store has nothing to give,
@@ -141,18 +156,22 @@
 	if urgent {
 		m.demand.note(call.Workspace, n, call.Arrived)
 	}
+	holder := m.holder.Load()
+	if holder == nil {
+		return nil, unreachable("this instance has not joined the fleet yet")
+	}
 	var floor nutmegid.Tokens
-	if !urgent && m.holder.Short(id) {
+	if !urgent && holder.Short(id) {
 		floor = m.demand.expect(call.Workspace, urgentSpan, call.Arrived)
 	}
-	if r, ok := m.holder.ReserveAbove(id, "", n, floor); ok {
+	if r, ok := holder.ReserveAbove(id, "", n, floor); ok {
 		return r, nil
 	}
-	r, err := m.holder.AcquireAbove(ctx, id, "", n, floor)
+	r, err := holder.AcquireAbove(ctx, id, "", n, floor)
 	switch {
 	case err == nil:
 		return r, nil
-	case nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && m.holder.Unspent(id) < n:
+	case nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && holder.Unspent(id) < n:
 		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: err.Error()}
 	}
 	return nil, unreachable(err.Error())
@@ -160,14 +179,12 @@
 
 // Give answers a peer's request for tokens.
 func (m *Meter) Give(ctx context.Context, ask nutmegbudget.Ask) nutmegid.Tokens {
-	return m.holder.Give(ctx, ask)
+	if holder := m.holder.Load(); holder != nil {
+		return holder.Give(ctx, ask)
+	}
+	return 0
 }
 
 func unreachable(detail string) *nutmegcall.Refusal {
 	return &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudgetUnknown, RetryAfter: retryAfter, Detail: detail}
 }
-
-// Balances returns the local state of all budgets.
-func (m *Meter) Balances() []nutmegbudget.Balance {
-	return m.holder.Balances()
-}
--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"crypto/rand"
+	"errors"
 	mathrand "math/rand/v2"
 	"net"
 	"slices"
@@ -34,7 +35,7 @@
 const (
 	instanceKind    = "nutmegwind_instances"
 	fleetKind       = "nutmegwind_fleet"
-	peerKeyName     = "peer_key"
+	fleetObject     = "agreed"
 	fleetName       = "nutmegwind"
 	peerKeyBytes    = 32
 	refreshPause    = 15 * time.Second
@@ -48,12 +49,16 @@
 
 // Config configures a roster.
 type Config struct {
-	Client   *nutmegstore.Client
-	Writer   *nutmegstore.Writer
-	Self     nutmegview.Instance
-	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
-	Budgets  nutmegpeer.Budgets // answers peers that ask for tokens
-	Library  nutmegpeer.Library // answers peers that ask for the configuration
+	Client  *nutmegstore.Client
+	Writer  *nutmegstore.Writer
+	Self    nutmegview.Instance
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
+	Budgets nutmegpeer.Budgets // answers peers that ask for tokens
+	Library nutmegpeer.Library // answers peers that ask for the configuration
+	// Shards returns over how many objects a new fleet spreads its budgets, 0
+	// while that can't be said. OnFleet is told what the fleet has agreed on.
+	Shards   func() int
+	OnFleet  func(shards int)
 	Log      *logrus.Entry
 	Metrics  metrics.Registry
 	OnChange func(instances int) // told of each new list; nil for none
@@ -108,10 +113,15 @@
 
 func (r *Roster) run(ctx context.Context, l net.Listener) {
 	defer close(r.done)
-	for !r.register(ctx) || !r.serve(ctx, l) {
-		if !pause(ctx, registerPause) {
-			_ = l.Close()
-			return
+	for _, step := range []func() bool{
+		func() bool { return r.register(ctx) },
+		func() bool { return r.serve(ctx, l) },
+	} {
+		for !step() {
+			if !pause(ctx, registerPause) {
+				_ = l.Close()
+				return
+			}
 		}
 	}
 	// The first lists come soon one after the other, as all instances of a new
@@ -139,28 +149,34 @@
 	return err == nil
 }
 
-// fleetKey is the object that holds the key of calls between instances.
-type fleetKey struct {
-	Key []byte `json:"key"`
+// fleet is what all instances of a fleet agree on. The first one writes it.
+type fleet struct {
+	Key          []byte `json:"key"` // of calls between instances
+	BudgetShards int    `json:"budget_shards"`
 }
 
-// serve reads the fleet's key, which the first instance makes, and takes calls
-// of peers.
+var errNotYet = errors.New("the size of the fleet's budgets is not known yet")
+
+// serve reads what the fleet agrees on, which the first instance writes, and
+// takes calls of peers.
 func (r *Roster) serve(ctx context.Context, l net.Listener) bool {
 	bounded, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	own := make([]byte, peerKeyBytes)
 	_, _ = rand.Read(own) // never fails
-	key := nutmegstore.Key{Kind: fleetKind, Name: peerKeyName}
-	doc, err := nutmegstore.Update(bounded, r.cfg.Writer, key, func(body *fleetKey) error {
+	key := nutmegstore.Key{Kind: fleetKind, Name: fleetObject}
+	doc, err := nutmegstore.Update(bounded, r.cfg.Writer, key, func(body *fleet) error {
 		if len(body.Key) > 0 {
 			return nutmegstore.ErrUnchanged
 		}
+		if body.BudgetShards = r.cfg.Shards(); body.BudgetShards == 0 {
+			return errNotYet
+		}
 		body.Key = own
 		return nil
 	})
 	if err != nil {
-		r.cfg.Log.WithField("event", "peer_key_unknown").WithError(err).Warn("the key of the fleet was not read; it is tried again")
+		r.cfg.Log.WithField("event", "fleet_unknown").WithError(err).Info("what the fleet agrees on was not read; it is tried again")
 		return false
 	}
 	peers := nutmegpeer.New(nutmegpeer.Config{
@@ -183,6 +199,7 @@
 		return false
 	}
 	r.peers.Store(peers)
+	r.cfg.OnFleet(doc.Body.BudgetShards)
 	return true
 }
 
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -26,6 +26,9 @@
 	bodyMemoryShare = 0.25             // of the memory, for the bodies of requests in progress
 	noConfigRetry   = 300 * time.Millisecond
 
-	storeSilent   = 2800 * time.Millisecond // without a good answer, the store counts as away
-	askPeersPause = 600 * time.Millisecond
+	storeSilent = 2800 * time.Millisecond // without a good answer, the store counts as away
+	// budgetsPerShard is how many budgets share one object: more make each commit
+	// larger and conflicts likelier, fewer make more commits.
+	budgetsPerShard = 5
+	askPeersPause   = 600 * time.Millisecond
 )
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -145,7 +145,7 @@
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
 		Client: e.client, Writer: e.writer, Dial: dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
-		Budgets: budgetServer{e}, Library: library{e},
+		Budgets: budgetServer{e}, Library: library{e}, Shards: e.budgetShards, OnFleet: func(shards int) { e.meter.Open(shards) },
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
 		},
@@ -205,7 +205,6 @@
 	e.upstreams.Start(ctx)
 	e.roster.Start(ctx, peers)
 	go e.askPeersLoop(ctx)
-	e.meter.Start()
 	e.pool.Start()
 	e.readiness = serve(readiness, e.readinessHandler(), e.log)
 	e.callers = serve(callers, http.HandlerFunc(e.handle), e.log)
@@ -227,7 +226,7 @@
 
 // Ready says whether the instance takes new callers.
 func (e *Entry) Ready() bool {
-	return e.stopping.Load() == nil && e.view.Config() != nil && len(e.view.Upstreams().ByID) > 0
+	return e.stopping.Load() == nil && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0
 }
 
 // Stop ends the instance gracefully within ctx.
--- a/internal/instance/nutmegentry/peers.go
+++ b/internal/instance/nutmegentry/peers.go
@@ -39,6 +39,16 @@
 	return nil, errNoShards
 }
 
+// budgetShards returns over how many objects a new fleet spreads the budgets of
+// its workspaces, 0 before the configuration is known.
+func (e *Entry) budgetShards() int {
+	c := e.view.Config()
+	if c == nil {
+		return 0
+	}
+	return max((len(c.Workspaces)+budgetsPerShard-1)/budgetsPerShard, 1)
+}
+
 // library answers peers that ask for the configuration in force.
 type library struct {
 	entry *Entry
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -202,16 +202,41 @@
 	return e, changed || returnAll && a.held() > 0
 }
 
+// due reports whether the account is worth a commit: it lacks tokens, holds far
+// more or less than it should, names transfers, or has not settled for long.
+func (a *account) due(settleAfter time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.need > 0 || a.look > 0 || !a.known {
+		return true
+	}
+	waited := time.Since(a.seenAt)
+	if waited >= settleAfter {
+		return a.spent > 0 || len(a.transfers) > 0 || a.excess() > 0
+	}
+	held := a.free + a.reserved
+	if a.excess() > held/4 {
+		return true
+	}
+	target := a.terms.Policy.Target(a.view(0))
+	return a.remaining > 0 && held < target/refillBelow
+}
+
+// view is what the holder knows of the budget, for its policy.
+func (a *account) view(held nutmegid.Tokens) View {
+	return View{
+		Rate: a.rate, Held: held, Granted: a.granted, Prepaid: maxTokens, Remaining: a.remaining, Holders: a.holders, Idle: a.idle(),
+		Live: a.live.tokens, TotalRate: a.live.rate, LiveHolders: a.live.holders,
+	}
+}
+
 // excess is what the policy does not want to keep.
 func (a *account) excess() nutmegid.Tokens {
 	if a.need > 0 {
 		return 0
 	}
 	held := a.free + a.reserved + a.locked()
-	keep := a.terms.Policy.Keep(View{
-		Rate: a.rate, Held: held, Granted: a.granted, Prepaid: maxTokens, Remaining: a.remaining, Holders: a.holders, Idle: a.idle(),
-		Live: a.live.tokens, TotalRate: a.live.rate, LiveHolders: a.live.holders,
-	})
+	keep := a.terms.Policy.Keep(a.view(held))
 	return max(0, min(a.free, held-keep))
 }
 
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +17,9 @@
 	shard  int
 	quit   chan struct{}
 	done   chan struct{}
+	begin  sync.Once   // of the loop
+	end    sync.Once   // of quit
+	loops  atomic.Bool // the loop was started
 	closed atomic.Bool // the leases were released: nothing new is reserved
 
 	turn     chan struct{} // held for one commit; guards all below
@@ -56,6 +60,30 @@
 	}
 }
 
+// start begins the loop, once.
+func (c *committer) start() {
+	c.begin.Do(func() {
+		c.loops.Store(true)
+		go c.loop()
+	})
+}
+
+// halt ends the loop and waits for it, or until ctx ends.
+func (c *committer) halt(ctx context.Context) error {
+	// A loop that was not started must not start any more.
+	c.begin.Do(func() {})
+	c.end.Do(func() { close(c.quit) })
+	if !c.loops.Load() {
+		return nil
+	}
+	select {
+	case <-c.done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // loop commits every interval.
 func (c *committer) loop() {
 	defer close(c.done)
@@ -83,13 +111,29 @@
 		a.tick(c.holder.cfg.CommitInterval)
 		a.mu.Unlock()
 	}
-	c.mayReturn = c.failures == 0
-	_ = c.commit(ctx, false)
-	c.mayReturn = false
+	if c.due() {
+		c.mayReturn = c.failures == 0
+		_ = c.commit(ctx, false)
+		c.mayReturn = false
+	}
 	c.unlock()
 	c.acknowledgeAhead(ctx)
 }
 
+// due reports whether the shard is worth a commit now.
+func (c *committer) due() bool {
+	cfg := c.holder.cfg
+	if cfg.SettleAfter == 0 || c.pending != nil || cfg.Keeper != nil || c.closed.Load() {
+		return true
+	}
+	for _, a := range c.holder.accountsOf(c.shard) {
+		if a.due(cfg.SettleAfter) {
+			return true
+		}
+	}
+	return false
+}
+
 func (c *committer) lock(ctx context.Context) error {
 	select {
 	case c.turn <- struct{}{}:
@@ -141,17 +185,13 @@
 }
 
 func (c *committer) abandon() {
-	close(c.quit)
-	<-c.done
+	_ = c.halt(context.Background())
 }
 
 // stop settles all spend and returns all tokens.
 func (c *committer) stop(ctx context.Context) error {
-	close(c.quit)
-	select {
-	case <-c.done:
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := c.halt(ctx); err != nil {
+		return err
 	}
 	c.acknowledgeAll(ctx)
 	if err := c.lock(ctx); err != nil {
@@ -281,7 +321,7 @@
 // direct writes the batch to the store.
 func (c *committer) direct(ctx context.Context, p *pendingBatch) (Result, error) {
 	doc, err := nutmegstore.Update(ctx, c.holder.cfg.Writer, c.key(), func(s *Shard) error {
-		c.holder.cfg.Prepare(s)
+		c.holder.cfg.Prepare(s, c.shard)
 		return s.Apply(p.Batch, c.holder.policyOf)
 	})
 	if err != nil {
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -51,17 +51,20 @@
 	Keeper         *Keeper                          // commits for others; none when nil
 	CommitInterval time.Duration                    // DefaultCommitInterval when zero
 	CommitTimeout  time.Duration                    // DefaultCommitTimeout when zero
-	MaxBackoff     time.Duration                    // between failed commits; DefaultMaxBackoff when zero
-	AcquireTimeout time.Duration                    // DefaultAcquireTimeout when zero
-	AskTimeout     time.Duration                    // DefaultAskTimeout when zero
-	DryTime        time.Duration                    // after a fruitless search for tokens; DefaultDryTime when zero
-	RateWeight     float64                          // of the newest interval in the spend rate; DefaultRateWeight when zero
+	// SettleAfter is how long spend may stay unsettled while the leases are
+	// about as large as the policies want them; at once when zero.
+	SettleAfter    time.Duration
+	MaxBackoff     time.Duration // between failed commits; DefaultMaxBackoff when zero
+	AcquireTimeout time.Duration // DefaultAcquireTimeout when zero
+	AskTimeout     time.Duration // DefaultAskTimeout when zero
+	DryTime        time.Duration // after a fruitless search for tokens; DefaultDryTime when zero
+	RateWeight     float64       // of the newest interval in the spend rate; DefaultRateWeight when zero
 	// StoreUp says whether the store answers; while it does not, only peers are
 	// asked for tokens. Always when nil.
 	StoreUp func() bool
 	// Prepare brings a shard up to date before each commit, for amounts that
 	// are configured elsewhere; nil for none. It may run several times.
-	Prepare func(s *Shard)
+	Prepare func(s *Shard, shard int)
 	// OnCommit is told of each budget's part in a written commit.
 	OnCommit func(c Committed)
 	// OnTransfer is told of tokens received from a peer.
@@ -87,6 +90,7 @@
 	committers []*committer
 
 	mu       sync.RWMutex
+	started  bool
 	accounts map[nutmegid.BudgetID]*account
 	byShard  [][]*account
 }
@@ -130,7 +134,7 @@
 		cfg.StoreUp = func() bool { return true }
 	}
 	if cfg.Prepare == nil {
-		cfg.Prepare = func(*Shard) {}
+		cfg.Prepare = func(*Shard, int) {}
 	}
 	if cfg.Policy == nil {
 		cfg.Policy = RateProportional{Horizon: DefaultHorizon, MinLease: DefaultMinLease}
@@ -142,10 +146,15 @@
 	return cfg
 }
 
-// Start begins the commits.
+// Start begins the commits. A shard is committed from its first use on.
 func (h *Holder) Start() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.started = true
 	for _, c := range h.committers {
-		go c.loop()
+		if len(h.byShard[c.shard]) > 0 {
+			c.start()
+		}
 	}
 }
 
@@ -356,6 +365,9 @@
 	a := &account{id: id, committer: h.committers[shard], terms: h.cfg.Terms(id), unseen: 1}
 	h.accounts[id] = a
 	h.byShard[shard] = append(h.byShard[shard], a)
+	if h.started {
+		h.committers[shard].start()
+	}
 	return a
 }
 
