--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -38,10 +38,10 @@
 	rateWeight     = 0.15            // of the newest commit interval
 	settleAfter    = 4 * time.Second // of spend while the lease is large enough
 	commitInterval = 1000 * time.Millisecond
-	dryTime        = 300 * time.Millisecond
-	acquireTimeout = 60 * time.Millisecond // a refusal later than that keeps a caller from trying elsewhere
+	dryTime        = 100 * time.Millisecond
+	acquireTimeout = 110 * time.Millisecond // a refusal later than that keeps a caller from trying elsewhere
 	commitTimeout  = 1500 * time.Millisecond
-	askTimeout     = 25 * time.Millisecond // for one peer's tokens
+	askTimeout     = 50 * time.Millisecond // for one peer's tokens
 	maxBackoff     = 700 * time.Millisecond
 	mostUrgent     = 0               // priority of routes whose requests go first
 	urgentSpan     = 8 * time.Second // of urgent requests that tokens are kept for
--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -44,7 +44,9 @@
 	callTimeout     = 250 * time.Millisecond
 	peerIdle        = 20 * time.Second
 	peerInterval    = 10 * time.Second // between sweeps of idle connections
-	silentFor       = 3 * time.Second  // after a failed call, a peer is not asked
+	silentFor       = 3 * time.Second  // after failed calls, a peer is not asked
+	// failuresToSilence is how many calls in a row must get no answer.
+	failuresToSilence = 3
 )
 
 // Config configures a roster.
@@ -72,7 +74,13 @@
 	done  chan struct{}
 
 	mu     sync.Mutex
-	silent map[nutmegid.Incarnation]time.Time // until when a peer is not asked
+	silent map[nutmegid.Incarnation]silence
+}
+
+// silence is what failed calls say of a peer.
+type silence struct {
+	failures int // in a row
+	until    time.Time
 }
 
 // New returns a roster that knows this instance only.
@@ -80,7 +88,7 @@
 	if cfg.OnChange == nil {
 		cfg.OnChange = func(int) {}
 	}
-	return &Roster{cfg: cfg, done: make(chan struct{}), silent: make(map[nutmegid.Incarnation]time.Time)}
+	return &Roster{cfg: cfg, done: make(chan struct{}), silent: make(map[nutmegid.Incarnation]silence)}
 }
 
 // Start registers the instance, serves peers on the listener and keeps the list
@@ -235,7 +243,7 @@
 	defer r.mu.Unlock()
 	var list []nutmegview.Instance
 	for _, i := range r.others() {
-		if now.After(r.silent[i.Incarnation]) {
+		if now.After(r.silent[i.Incarnation].until) {
 			list = append(list, i)
 		}
 	}
@@ -247,11 +255,17 @@
 func (r *Roster) called(i nutmegid.Incarnation, err error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if err != nil {
-		r.silent[i] = time.Now().Add(silentFor)
+	if err == nil {
+		delete(r.silent, i)
 		return
 	}
-	delete(r.silent, i)
+	s := r.silent[i]
+	s.failures++
+	// A call that was too short for a busy peer says little by itself.
+	if s.failures >= failuresToSilence || !errors.Is(err, context.DeadlineExceeded) {
+		s.until = time.Now().Add(silentFor)
+	}
+	r.silent[i] = s
 }
 
 // FetchConfig asks one peer for the configuration in force there, false where
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -293,6 +293,7 @@
 		return err
 	}
 	c.failures = 0
+	c.holder.doubtful.Store(false)
 	c.retryAt = time.Time{}
 	c.pending = nil
 	c.number = p.Number
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -29,6 +29,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -89,6 +90,8 @@
 	cfg        HolderConfig
 	committers []*committer
 
+	doubtful atomic.Bool // the store did not answer a request in time, and has not since
+
 	mu       sync.RWMutex
 	started  bool
 	accounts map[nutmegid.BudgetID]*account
@@ -251,7 +254,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AcquireTimeout)
 	defer cancel()
 	w, o := h.account(workspace), h.ownerAccount(owner)
-	withStore := h.cfg.StoreUp()
+	withStore := h.cfg.StoreUp() && !h.doubtful.Load()
 	for round := range acquireRounds {
 		unreachable := errors.Join(h.refill(ctx, w, n+floor, withStore), h.refill(ctx, o, n, withStore))
 		if r, ok := h.ReserveAbove(workspace, owner, n, floor); ok {
@@ -303,6 +306,9 @@
 		return nil
 	}
 	err := h.askStore(ctx, a)
+	if err == nil && a.lacking(n) <= 0 {
+		return nil
+	}
 	a.committer.acknowledgeFor(ctx, a, n)
 	h.askPeers(ctx, a, n)
 	if a.lacking(n) <= 0 {
@@ -313,7 +319,10 @@
 
 // askStore commits with the account's need.
 func (h *Holder) askStore(ctx context.Context, a *account) error {
-	if err := a.committer.commitNow(ctx); err != nil {
+	bounded, cancel := context.WithTimeout(ctx, h.cfg.AskTimeout)
+	defer cancel()
+	if err := a.committer.commitNow(bounded); err != nil {
+		h.doubtful.Store(true)
 		return &Error{
 			Kind: KindUnreachable, Budget: a.id, Detail: "the store did not grant tokens: " + err.Error(),
 			Remedy: "try again once the platform answers",
@@ -393,7 +402,7 @@
 
 // Short reports whether nothing can be had of the store for a budget now.
 func (h *Holder) Short(id nutmegid.BudgetID) bool {
-	return !h.cfg.StoreUp() || h.account(id).storeEmpty()
+	return !h.cfg.StoreUp() || h.doubtful.Load() || h.account(id).storeEmpty()
 }
 
 // Unspent returns the tokens of a budget that were not known to be spent at
--- a/nutmegbudget/policy.go
+++ b/nutmegbudget/policy.go
@@ -97,11 +97,13 @@
 
 func (p FairShare) fair(v View) nutmegid.Tokens {
 	holders := float64(max(v.LiveHolders, 1))
+	// A holder that was cut off may spend more than the store knows of.
+	total := max(v.TotalRate, v.Rate)
 	part := 1 / holders
-	if v.TotalRate > 0 {
-		part = p.Even/holders + (1-p.Even)*min(v.Rate/v.TotalRate, 1)
+	if total > 0 {
+		part = p.Even/holders + (1-p.Even)*v.Rate/total
 	}
-	mean := part * v.TotalRate * p.Horizon.Seconds()
+	mean := part * total * p.Horizon.Seconds()
 	want := mean + math.Sqrt(mean*float64(p.Spread)) + leastSpread*float64(p.Spread)
 	return nutmegid.Tokens(min(want, part*p.Leased*float64(v.Live)))
 }
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -41,13 +41,14 @@
 	if ask.Need <= 0 || ask.Receiver == h.cfg.Incarnation || ask.Giver != h.cfg.Incarnation || ask.Transfer == "" {
 		return 0
 	}
-	a := h.known(ask.Budget)
-	if a == nil || !a.terms.Share || a.committer.closed.Load() {
+	a := h.account(ask.Budget)
+	if !a.terms.Share || a.committer.closed.Load() {
 		return 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, h.cfg.AskTimeout/2)
+	ctx, cancel := context.WithTimeout(ctx, h.cfg.AskTimeout*3/4)
 	defer cancel()
 	a.committer.acknowledgeFor(ctx, a, ask.Need)
+	h.fetchFor(ctx, a, max(ask.Need, ask.Want))
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if m, ok := a.transfers[ask.Transfer]; ok {
@@ -66,6 +67,17 @@
 	return n
 }
 
+// fetchFor takes tokens from the store for a peer that may not reach it.
+func (h *Holder) fetchFor(ctx context.Context, a *account, need nutmegid.Tokens) {
+	if a.lacking(need) <= 0 || a.dry(need) || !h.cfg.StoreUp() || h.doubtful.Load() || a.storeEmpty() {
+		return
+	}
+	a.addNeed(need)
+	defer a.addNeed(-need)
+	// Without the store, the peer gets what there is.
+	_ = a.committer.commitNow(ctx)
+}
+
 // askPeers asks other holders, the richest first, until the account has n
 // free tokens.
 func (h *Holder) askPeers(ctx context.Context, a *account, n nutmegid.Tokens) {
