--- /dev/null
+++ b/nutmegbudget/fair_test.go
@@ -0,0 +1,155 @@
+package nutmegbudget
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+var fair = FairShare{Horizon: 7 * time.Second, Leased: 0.6, Even: 0.25, Spread: 30_000}
+
+func TestFairSharesNeverExceedWhatMayBeLeased(t *testing.T) {
+	// One holder spends nearly all, as where a workspace's callers stick to it.
+	rates := []float64{100_000, 1000, 0, 500, 0, 2000}
+	const live = nutmegid.Tokens(1_000_000)
+	var total float64
+	for _, r := range rates {
+		total += r
+	}
+	var sum nutmegid.Tokens
+	for _, r := range rates {
+		sum += fair.Target(View{Rate: r, TotalRate: total, Live: live, LiveHolders: len(rates)})
+	}
+	if bound := live * 6 / 10; sum > bound {
+		t.Errorf("targets sum up to %d, bound %d", sum, bound)
+	}
+}
+
+func TestAFairShareCoversTheHorizonWhilePlentyIsLeft(t *testing.T) {
+	v := View{Rate: 10_000, TotalRate: 60_000, Live: 100_000_000, LiveHolders: 6}
+	if got := fair.Target(v); got < 70_000 {
+		t.Errorf("target is %d tokens at 10,000 a second, want at least 7 seconds' spend", got)
+	}
+}
+
+func TestAHolderThatTheStoreHasNotHeardOfCountsItsOwnSpend(t *testing.T) {
+	v := View{Rate: 10_000, Live: 100_000_000, LiveHolders: 1}
+	if got := fair.Target(v); got < 70_000 {
+		t.Errorf("target is %d tokens at 10,000 a second, want at least 7 seconds' spend", got)
+	}
+}
+
+func TestANeedIsCoveredBeyondTheFairShare(t *testing.T) {
+	if got := fair.Target(View{Held: 10, Need: 5000, Live: 100, LiveHolders: 6}); got != 5010 {
+		t.Errorf("target is %d, want what is held and needed", got)
+	}
+}
+
+func TestAmountsComeFromTheNewestConfiguration(t *testing.T) {
+	s := &Shard{}
+	s.SetAmounts(7, map[nutmegid.BudgetID]nutmegid.Tokens{"a": 100})
+	s.SetAmounts(5, map[nutmegid.BudgetID]nutmegid.Tokens{"a": 900})
+	if diff := cmp.Diff(nutmegid.Tokens(100), s.Budgets["a"].Prepaid); diff != "" {
+		t.Errorf("amount after an older configuration (-want +got):\n%s", diff)
+	}
+	s.Budgets["a"].Spent = 30
+	s.Budgets["a"].lease("x").Tokens = 40
+	s.SetAmounts(9, map[nutmegid.BudgetID]nutmegid.Tokens{"a": 50})
+	if diff := cmp.Diff(nutmegid.Tokens(70), s.Budgets["a"].Prepaid); diff != "" {
+		t.Errorf("amount below what is spent and leased (-want +got):\n%s", diff)
+	}
+	s.Budgets["a"].lease("x").Tokens = 0
+	s.SetAmounts(9, map[nutmegid.BudgetID]nutmegid.Tokens{"a": 50})
+	if diff := cmp.Diff(nutmegid.Tokens(50), s.Budgets["a"].Prepaid); diff != "" {
+		t.Errorf("amount once the lease has returned (-want +got):\n%s", diff)
+	}
+}
+
+func TestALaterIncarnationOfAnInstanceSupersedesTheEarlier(t *testing.T) {
+	s := &Shard{Budgets: map[nutmegid.BudgetID]*Budget{"a": {Prepaid: 1000}}}
+	s.Budgets["a"].makeMaps()
+	policy := func(nutmegid.BudgetID) Policy { return FixedLease{Tokens: 100} }
+	for _, inc := range []nutmegid.Incarnation{"x1", "y1", "x2"} {
+		batch := Batch{Incarnation: inc, Instance: nutmegid.Instance(inc[:1]), Number: 1, Entries: []Entry{{Budget: "a", Rate: 5}}}
+		if err := s.Apply(batch, policy); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := liveLeases{tokens: 900, rate: 10, holders: 2}
+	if diff := cmp.Diff(want, s.live(s.Budgets["a"]), cmp.AllowUnexported(liveLeases{})); diff != "" {
+		t.Errorf("what the living have (-want +got):\n%s", diff)
+	}
+	// The dead one's lease is not given to others.
+	if diff := cmp.Diff(nutmegid.Tokens(700), s.Budgets["a"].Remaining()); diff != "" {
+		t.Errorf("remaining (-want +got):\n%s", diff)
+	}
+}
+
+func TestOnlyTheAskedIncarnationGivesTokens(t *testing.T) {
+	h := NewHolder(HolderConfig{
+		Incarnation: "new", Instance: "one", StoreUp: func() bool { return false },
+		Terms: func(nutmegid.BudgetID) Terms { return Terms{Policy: fair, Share: true} },
+	})
+	a := h.account("a")
+	a.known, a.free = true, 1000
+	ask := Ask{Transfer: "t1", Budget: "a", Receiver: "other", Giver: "old", Need: 100, Want: 100}
+	if given := h.Give(t.Context(), ask); given != 0 {
+		t.Errorf("%d tokens were given for an earlier incarnation", given)
+	}
+	ask.Giver = "new"
+	if given := h.Give(t.Context(), ask); given != 100 {
+		t.Errorf("%d tokens were given, want 100", given)
+	}
+}
+
+func TestAFloorIsLeftForUrgentRequests(t *testing.T) {
+	h := NewHolder(HolderConfig{Incarnation: "x", Instance: "one"})
+	a := h.account("a")
+	a.known, a.free = true, 1000
+	if _, ok := h.ReserveAbove("a", "", 800, 300); ok {
+		t.Error("a reservation went below the floor")
+	}
+	if _, ok := h.ReserveAbove("a", "", 700, 300); !ok {
+		t.Error("a reservation that leaves the floor was refused")
+	}
+	if _, ok := h.Reserve("a", "", 300); !ok {
+		t.Error("an urgent reservation was refused what was kept for it")
+	}
+}
+
+func TestALeaseIsCommittedWhenItIsDue(t *testing.T) {
+	h := NewHolder(HolderConfig{
+		Incarnation: "x", Instance: "one", SettleAfter: time.Minute,
+		Terms: func(nutmegid.BudgetID) Terms { return Terms{Policy: fair} },
+	})
+	a := h.account("a")
+	fresh := func() {
+		a.known, a.seenAt, a.need, a.spent = true, time.Now(), 0, 100
+		a.live = liveLeases{tokens: 10_000_000, rate: 1000, holders: 1}
+		a.rate, a.remaining = 1000, 1_000_000
+		a.free = fair.Target(a.view(0))
+	}
+	tests := []struct {
+		name   string
+		change func()
+		due    bool
+	}{
+		{"spent a little", func() {}, false},
+		{"half used up", func() { a.free /= 3 }, true},
+		{"half used up and nothing left", func() { a.free /= 3; a.remaining = 0 }, false},
+		{"needs tokens", func() { a.need = 1 }, true},
+		{"holds far too much", func() { a.free *= 4 }, true},
+		{"has not settled for long", func() { a.seenAt = time.Now().Add(-2 * time.Minute) }, true},
+		{"has nothing to settle for long", func() { a.seenAt = time.Now().Add(-2 * time.Minute); a.spent = 0 }, false},
+	}
+	for _, test := range tests {
+		fresh()
+		test.change()
+		if due := a.due(time.Minute); due != test.due {
+			t.Errorf("%s: due %v, want %v", test.name, due, test.due)
+		}
+	}
+}
