Fetch tokens only for peers that do not reach the store

Cause: a peer that was asked made an account and took a least lease of its own, so a stopped instance's budget still showed 2,000 leased tokens (TestGracefulStopEndsStreamsAndReturnsLeases failed). Conclusion: the ask says whether its sender reaches the store.

--- a/nutmegbudget/compare_test.go
+++ b/nutmegbudget/compare_test.go
@@ -153,7 +153,7 @@
 }
 
 func (x *comparison) start(i int) *busNode {
-	n := x.bus.newNode(i, x.links[i], x.c.terms, x.c.witnesses, false)
+	n := x.bus.newNode(i, x.links[i], profile{terms: x.c.terms, witnesses: x.c.witnesses})
 	n.holder.cfg.CommitInterval = x.interval
 	n.domain = i % compareDomains
 	n.holder.Start()
--- a/nutmegbudget/double_test.go
+++ b/nutmegbudget/double_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -272,16 +273,16 @@
 }
 
 // newNode puts a new incarnation of an instance on the bus.
-func (b *bus) newNode(index int, link *memLink, terms Terms, witnesses int, keeper bool) *busNode {
+func (b *bus) newNode(index int, link *memLink, p profile) *busNode {
 	n := &busNode{bus: b, index: index, domain: index, inc: nutmegid.NewIncarnation()}
 	writer := nutmegstore.NewWriter(link, n.inc)
-	all := func(nutmegid.BudgetID) Terms { return terms }
-	if keeper {
+	all := func(nutmegid.BudgetID) Terms { return p.terms }
+	if p.keeper {
 		n.keeper = NewKeeper(KeeperConfig{Writer: writer, Terms: all, Shards: 1})
 	}
 	n.holder = NewHolder(HolderConfig{
-		Writer: writer, Incarnation: n.inc, Instance: nutmegid.Instance(n.inc), Terms: all,
-		Peers: n, Witnesses: witnesses, Keeper: n.keeper,
+		Writer: writer, Incarnation: n.inc, Instance: nutmegid.Instance(fmt.Sprint("instance-", index)), Terms: all,
+		Peers: n, Witnesses: p.witnesses, Keeper: n.keeper, SettleAfter: p.settleAfter,
 	})
 	n.witness = NewWitness(WitnessConfig{Writer: writer, Incarnation: n.inc, Live: func(inc nutmegid.Incarnation) bool {
 		return slices.Contains(n.Live(), inc)
--- a/nutmegbudget/fair_test.go
+++ b/nutmegbudget/fair_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -153,3 +154,26 @@
 		}
 	}
 }
+
+func TestAPeerThatReachesTheStoreFetchesForOneThatDoesNot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(profile{terms: Terms{Policy: fair, Share: true}})
+		id := nutmegid.WorkspaceBudget("rack")
+		err := w.operate(func(s *Shard) error {
+			s.SetAmounts(1, map[nutmegid.BudgetID]nutmegid.Tokens{id: 1_000_000})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		cut, connected := w.nodes[0], w.nodes[1]
+		ask := Ask{Transfer: "t1", Budget: id, Receiver: cut.inc, Giver: connected.inc, Need: 5000, Want: 5000}
+		if given := connected.holder.Give(t.Context(), ask); given != 0 {
+			t.Errorf("%d tokens were fetched for a peer that reaches the store", given)
+		}
+		ask.Fetch = true
+		if given := connected.holder.Give(t.Context(), ask); given < ask.Need {
+			t.Errorf("%d tokens were given to a peer that is cut off, want at least %d", given, ask.Need)
+		}
+	})
+}
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -300,7 +300,7 @@
 	defer a.addNeed(-n)
 	a.committer.acknowledgeFor(ctx, a, n)
 	if !withStore || !a.storeCovers(n) {
-		h.askPeers(ctx, a, n)
+		h.askPeers(ctx, a, n, !withStore)
 	}
 	if a.lacking(n) <= 0 || !withStore || a.storeEmpty() {
 		return nil
@@ -310,7 +310,7 @@
 		return nil
 	}
 	a.committer.acknowledgeFor(ctx, a, n)
-	h.askPeers(ctx, a, n)
+	h.askPeers(ctx, a, n, err != nil)
 	if a.lacking(n) <= 0 {
 		return nil
 	}
--- a/nutmegbudget/runs_test.go
+++ b/nutmegbudget/runs_test.go
@@ -142,6 +142,11 @@
 	checkRuns(t, profile{terms: Terms{Policy: runPolicy, Share: true, Slice: 10 * time.Second}, witnesses: 2})
 }
 
+func TestRunsFair(t *testing.T) {
+	policy := FairShare{Horizon: 7 * time.Second, Leased: 0.6, Even: 0.25, Spread: 1000}
+	checkRuns(t, profile{terms: Terms{Policy: policy, Share: true}, settleAfter: 4 * time.Second})
+}
+
 func TestRunsKept(t *testing.T) {
 	checkRuns(t, profile{terms: Terms{Policy: runPolicy, Share: true, Slice: 10 * time.Second}, witnesses: 1, keeper: true})
 }
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -18,6 +18,9 @@
 	// Need is the least that helps; Want is what the receiver can use.
 	Need nutmegid.Tokens
 	Want nutmegid.Tokens
+	// Fetch says that the receiver does not reach the store, so that the giver
+	// may take tokens from there for it.
+	Fetch bool
 }
 
 // Peers reaches the other holders of the fleet.
@@ -41,14 +44,19 @@
 	if ask.Need <= 0 || ask.Receiver == h.cfg.Incarnation || ask.Giver != h.cfg.Incarnation || ask.Transfer == "" {
 		return 0
 	}
-	a := h.account(ask.Budget)
-	if !a.terms.Share || a.committer.closed.Load() {
+	a := h.known(ask.Budget)
+	if a == nil && ask.Fetch {
+		a = h.account(ask.Budget)
+	}
+	if a == nil || !a.terms.Share || a.committer.closed.Load() {
 		return 0
 	}
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AskTimeout*3/4)
 	defer cancel()
 	a.committer.acknowledgeFor(ctx, a, ask.Need)
-	h.fetchFor(ctx, a, max(ask.Need, ask.Want))
+	if ask.Fetch {
+		h.fetchFor(ctx, a, max(ask.Need, ask.Want))
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if m, ok := a.transfers[ask.Transfer]; ok {
@@ -79,8 +87,8 @@
 }
 
 // askPeers asks other holders, the richest first, until the account has n
-// free tokens.
-func (h *Holder) askPeers(ctx context.Context, a *account, n nutmegid.Tokens) {
+// free tokens. With fetch, they may take them from the store.
+func (h *Holder) askPeers(ctx context.Context, a *account, n nutmegid.Tokens, fetch bool) {
 	if h.cfg.Peers == nil || !a.terms.Share {
 		return
 	}
@@ -89,7 +97,7 @@
 		if lacking <= 0 || ctx.Err() != nil {
 			return
 		}
-		h.askPeer(ctx, a, peer, lacking)
+		h.askPeer(ctx, a, peer, lacking, fetch)
 	}
 }
 
@@ -112,7 +120,7 @@
 	return list[:min(len(list), maxAskedPeers)]
 }
 
-func (h *Holder) askPeer(ctx context.Context, a *account, peer nutmegid.Incarnation, lacking nutmegid.Tokens) {
+func (h *Holder) askPeer(ctx context.Context, a *account, peer nutmegid.Incarnation, lacking nutmegid.Tokens, fetch bool) {
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AskTimeout)
 	defer cancel()
 	id := nutmegid.NewTransferID()
@@ -126,7 +134,7 @@
 	}) - a.held()
 	a.mu.Unlock()
 	given, err := h.cfg.Peers.Ask(ctx, peer, Ask{
-		Transfer: id, Budget: a.id, Receiver: h.cfg.Incarnation, Giver: peer, Need: lacking, Want: max(lacking, want),
+		Transfer: id, Budget: a.id, Receiver: h.cfg.Incarnation, Giver: peer, Need: lacking, Want: max(lacking, want), Fetch: fetch,
 	})
 	h.answered(a, m, given, err)
 }
--- a/nutmegbudget/world_test.go
+++ b/nutmegbudget/world_test.go
@@ -17,6 +17,8 @@
 	terms     Terms
 	witnesses int
 	keeper    bool
+	// settleAfter is how long spend may stay unsettled.
+	settleAfter time.Duration
 }
 
 var runPolicy = RateProportional{Horizon: time.Minute, MinLease: 500}
@@ -51,7 +53,7 @@
 	}
 	for i := range runInstances {
 		w.links = append(w.links, &memLink{store: w.store})
-		w.nodes = append(w.nodes, w.bus.newNode(i, w.links[i], p.terms, p.witnesses, p.keeper))
+		w.nodes = append(w.nodes, w.bus.newNode(i, w.links[i], p))
 	}
 	return w
 }
@@ -281,7 +283,7 @@
 }
 
 func (w *world) replace(i int) {
-	w.nodes[i] = w.bus.newNode(i, w.links[i], w.profile.terms, w.profile.witnesses, w.profile.keeper)
+	w.nodes[i] = w.bus.newNode(i, w.links[i], w.profile)
 }
 
 // stop ends an instance cleanly, if it can, and replaces it.
--- a/nutmegbudget/writes_test.go
+++ b/nutmegbudget/writes_test.go
@@ -47,7 +47,7 @@
 		}
 		for i := range instances {
 			link := &memLink{store: store, faults: linkFaults{slow: 3 * time.Millisecond}}
-			b.newNode(i, link, Terms{Policy: runPolicy}, 0, kept).holder.Start()
+			b.newNode(i, link, profile{terms: Terms{Policy: runPolicy}, keeper: kept}).holder.Start()
 			time.Sleep(time.Second / time.Duration(instances))
 		}
 		before := 0
--- a/nutmegpeer/transfer.go
+++ b/nutmegpeer/transfer.go
@@ -16,6 +16,7 @@
 	Giver    nutmegid.Incarnation
 	Need     nutmegid.Tokens // the least that helps
 	Want     nutmegid.Tokens // what the receiver can use
+	Fetch    bool            // the receiver does not reach the store
 }
 
 // Budgets is what peers ask of an instance's budgets.
@@ -42,6 +43,7 @@
 		Giver:    string(ask.Giver),
 		Need:     int64(ask.Need),
 		Want:     int64(ask.Want),
+		Fetch:    ask.Fetch,
 	}
 	var err error
 	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
@@ -80,6 +82,7 @@
 		Giver:    nutmegid.Incarnation(r.GetGiver()),
 		Need:     nutmegid.Tokens(r.GetNeed()),
 		Want:     nutmegid.Tokens(r.GetWant()),
+		Fetch:    r.GetFetch(),
 	})
 	reply := &peerpb.TransferReply{Fleet: s.peers.cfg.Fleet, Transfer: r.GetTransfer(), Tokens: int64(given)}
 	var err error
