--- a/cmd/nutmegwind/entry.go
+++ b/cmd/nutmegwind/entry.go
@@ -31,17 +31,16 @@
 	lines := nutmegjournal.NewWriter(nutmegjournal.WriterConfig{Out: os.Stdout})
 	lines.Start()
 	defer lines.Stop(logFlushTime)
-	entry, err := nutmegentry.New(nutmegentry.Config{
-		Settings: settings,
-		Platform: nutmegplatform.Instance(),
-		Log:      nutmegjournal.NewLogger(lines, settings.Log.Level),
-	})
+	log := nutmegjournal.NewLogger(lines, settings.Log.Level)
+	entry, err := nutmegentry.New(nutmegentry.Config{Settings: settings, Platform: nutmegplatform.Instance(), Log: log})
 	if err != nil {
 		return err
 	}
 	if err := entry.Start(); err != nil {
 		return err
 	}
+	reloader := &reloader{file: file, apply: entry.Reload, log: log}
+	reloader.start(context.WithoutCancel(ctx))
 	<-ctx.Done()
 	return entry.Stop(context.WithoutCancel(ctx))
 }
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -224,6 +224,15 @@
 	e.exposed = serve(l, e.metricsHandler(), e.log)
 }
 
+// Reload takes changed settings in that need no restart: the bounds of repeats
+// and the level of the log.
+func (e *Entry) Reload(s nutmegconf.EntrySettings) {
+	e.retries.SetConfig(nutmegretry.Config{Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window)})
+	if level, err := logrus.ParseLevel(s.Log.Level); err == nil {
+		e.cfg.Log.SetLevel(level)
+	}
+}
+
 // Ready says whether the instance takes new callers.
 func (e *Entry) Ready() bool {
 	return e.stopping.Load() == nil && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0
--- a/internal/traffic/nutmegretry/budget.go
+++ b/internal/traffic/nutmegretry/budget.go
@@ -48,6 +48,17 @@
 	return &Budget{cfg: cfg, services: make(map[nutmegview.Service]*counts)}
 }
 
+// SetConfig changes the bounds. What was counted stays, unless the window is
+// another one.
+func (b *Budget) SetConfig(cfg Config) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if cfg.Window != b.cfg.Window {
+		clear(b.services)
+	}
+	b.cfg = cfg
+}
+
 // First counts a request for a service.
 func (b *Budget) First(s nutmegview.Service, now time.Duration) {
 	b.mu.Lock()
--- a/internal/traffic/nutmegretry/budget_test.go
+++ b/internal/traffic/nutmegretry/budget_test.go
@@ -73,3 +73,18 @@
 		t.Error("a service was charged with another's repeats")
 	}
 }
+
+func TestChangedBoundsHoldForWhatWasCounted(t *testing.T) {
+	b := NewBudget(config)
+	for b.Again("desk", time.Second, 1) {
+		continue
+	}
+	b.SetConfig(Config{Ratio: 0.2, Extra: 2 * config.Extra, Window: config.Window})
+	if !b.Again("desk", time.Second, 1) {
+		t.Error("a larger bound gave nothing")
+	}
+	b.SetConfig(config)
+	if b.Again("desk", time.Second, 1) {
+		t.Error("repeats were forgotten when the bound fell back")
+	}
+}
