--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -30,6 +30,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegfollow"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegroster"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
@@ -85,9 +86,9 @@
 	meter     *nutmegmeter.Meter
 	relay     *nutmegrelay.Relay
 
-	callers   *server
-	readiness *server
-	exposed   *server                  // metrics; nil where the address is taken
+	callers   *nutmegserve.Server
+	readiness *nutmegserve.Server
+	exposed   *nutmegserve.Server      // metrics; nil where the address is taken
 	stopping  atomic.Pointer[stopping] // nil until the instance stops
 	running   atomic.Int64             // requests in progress
 	bodyBytes atomic.Int64             // of requests in progress
@@ -206,8 +207,8 @@
 	e.roster.Start(ctx, peers)
 	go e.askPeersLoop(ctx)
 	e.pool.Start()
-	e.readiness = serve(readiness, e.readinessHandler(), e.log)
-	e.callers = serve(callers, http.HandlerFunc(e.handle), e.log)
+	e.readiness = e.serve(readiness, e.readinessHandler())
+	e.callers = e.serve(callers, http.HandlerFunc(e.handle))
 	e.serveMetrics()
 	e.event("start").WithFields(logrus.Fields{"callers": l.Callers, "store": e.cfg.Settings.Store.Address}).Info("instance started")
 	return nil
@@ -221,7 +222,7 @@
 		e.event("metrics_unavailable").WithError(err).Error("metrics are not served")
 		return
 	}
-	e.exposed = serve(l, e.metricsHandler(), e.log)
+	e.exposed = e.serve(l, e.metricsHandler())
 }
 
 // Reload takes changed settings in that need no restart: the bounds of repeats
@@ -246,7 +247,7 @@
 	serving, cancel := context.WithDeadline(ctx, s.end)
 	defer cancel()
 	e.awaitIdle(serving)
-	failed := e.callers.stop(serving)
+	failed := e.callers.Stop(serving)
 	e.endRuns(errStopped)
 	finish, cancelFinish := context.WithTimeout(context.WithoutCancel(ctx), finishTime)
 	defer cancelFinish()
@@ -255,9 +256,9 @@
 	<-e.askedPeers
 	e.roster.Stop()
 	e.pool.Stop()
-	e.readiness.kill()
+	e.readiness.Kill()
 	if e.exposed != nil {
-		e.exposed.kill()
+		e.exposed.Kill()
 	}
 	e.event("stopped").Info("instance stopped")
 	return failed
@@ -281,6 +282,17 @@
 	}
 }
 
+func (e *Entry) serve(l net.Listener, h http.Handler) *nutmegserve.Server {
+	return nutmegserve.Start(l, nutmegserve.Config{
+		Handler:        h,
+		HeaderTimeout:  headerTimeout,
+		IdleTimeout:    callerIdle,
+		WriteTimeout:   writeTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		Log:            e.log,
+	})
+}
+
 func listen(setting, address string) (net.Listener, error) {
 	cfg := net.ListenConfig{KeepAliveConfig: nutmegconn.KeepAlive()}
 	l, err := cfg.Listen(context.Background(), "tcp", address)
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -78,9 +78,6 @@
 	Deadline time.Time // when the caller or the route stops waiting
 }
 
-// Fingerprint identifies the request over its repeats.
-type Fingerprint uint64
-
 // Ran tells whether a request has run.
 type Ran int
 
@@ -124,7 +121,6 @@
 	ReasonRefused       Reason = "refused_by_upstreams"
 	ReasonDeadline      Reason = "deadline_passed"
 	ReasonBroken        Reason = "upstream_failed"
-	ReasonCrashing      Reason = "crashes_upstreams"
 	ReasonCallerLeft    Reason = "caller_left"
 	ReasonMemory        Reason = "out_of_memory"
 	ReasonStopping      Reason = "instance_stops"
--- a/internal/traffic/nutmegrelay/run.go
+++ b/internal/traffic/nutmegrelay/run.go
@@ -62,7 +62,8 @@
 		if ctx.Err() != nil {
 			return r.ended(ctx)
 		}
-		if r.sends > 0 && !r.mayRepeat() {
+		again := r.sends > 0
+		if again && !r.mayRepeat() {
 			return r.gaveUp()
 		}
 		ticket, refusal := r.relay.cfg.Placer.Pick(r.ask(), r.relay.cfg.Moment())
@@ -71,6 +72,9 @@
 		}
 		r.tries++
 		r.outcome.Upstream = ticket.Upstream.ID
+		if again {
+			r.note(r.kindOfRepeat(), ticket, nil)
+		}
 		last, err := r.attempt(ctx, ticket)
 		if last == attemptDone {
 			return nil
@@ -113,6 +117,13 @@
 	return false
 }
 
+func (r *run) kindOfRepeat() DecisionKind {
+	if r.began {
+		return DecisionResume
+	}
+	return DecisionRepeat
+}
+
 func (r *run) note(kind DecisionKind, t *nutmegplace.Ticket, err error) {
 	r.relay.cfg.Decided(r.call, Decision{Kind: kind, Upstream: t.Upstream.ID, Try: r.tries, Err: err})
 }
--- a/nutmegnode/lifecycle.go
+++ b/nutmegnode/lifecycle.go
@@ -166,7 +166,7 @@
 	case <-time.After(time.Duration(n.cfg.Settings.Limits.DrainDelay)):
 	case <-ctx.Done():
 	}
-	failed := n.callers.stop(ctx)
+	failed := n.callers.Stop(ctx)
 	// What must last is written even when the requests took all the time.
 	finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), time.Duration(n.cfg.Settings.Limits.FinishTimeout))
 	defer cancel()
@@ -175,7 +175,7 @@
 	n.router.stop()
 	n.witness.Stop()
 	n.peers.Stop()
-	failed = errors.Join(failed, n.operators.stop(finish))
+	failed = errors.Join(failed, n.operators.Stop(finish))
 	n.ring.Record(nutmegtime.Event{Kind: nutmegtime.KindStop, Detail: "stopped"})
 	n.log.Info("instance stopped")
 	return failed
@@ -189,8 +189,8 @@
 
 func (n *Node) kill() {
 	n.stopping.Store(true)
-	n.callers.kill()
-	n.operators.kill()
+	n.callers.Kill()
+	n.operators.Kill()
 	n.stopFollowing()
 	n.router.stop()
 	n.sender.Abandon()
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -26,6 +26,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
+	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -83,8 +84,8 @@
 	streamRate  *rate.Limiter
 	sweepNext   atomic.Uint32
 
-	callers   *server
-	operators *server
+	callers   *nutmegserve.Server
+	operators *nutmegserve.Server
 	addresses Addresses
 	stopping  atomic.Bool
 	stopOnce  sync.Once
