--- a/internal/ops/nutmegjournal/writer.go
+++ b/internal/ops/nutmegjournal/writer.go
@@ -55,14 +55,21 @@
 // Write takes one line. It never blocks and never fails; a line that finds no
 // room is dropped.
 func (w *Writer) Write(line []byte) (int, error) {
+	if !w.add(line) {
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// add puts a line into the buffer, false where there is no room.
+func (w *Writer) add(line []byte) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.waiting)+len(line) > w.cfg.BufferBytes {
-		w.dropped.Add(1)
-		return len(line), nil
+		return false
 	}
 	w.waiting = append(w.waiting, line...)
-	return len(line), nil
+	return true
 }
 
 // Dropped returns how many lines were dropped.
@@ -97,13 +104,17 @@
 		case <-ticker.C:
 			w.flush()
 		}
-		if n := w.dropped.Load(); n > said {
-			_, _ = fmt.Fprintf(w, `{"event":"log_lines_dropped","count":%d,"level":"warning","msg":"the output was too slow for the log"}`+"\n", n-said)
+		if n := w.dropped.Load(); n > said && w.add(droppedLine(n-said)) {
 			said = n
 		}
 	}
 }
 
+// droppedLine says how many lines were dropped since the last such line.
+func droppedLine(n int64) []byte {
+	return fmt.Appendf(nil, `{"event":"log_lines_dropped","count":%d,"level":"warning","msg":"the output was too slow for the log"}`+"\n", n)
+}
+
 func (w *Writer) flush() {
 	w.mu.Lock()
 	lines := w.waiting
