--- a/internal/ops/nutmegjournal/writer_test.go
+++ b/internal/ops/nutmegjournal/writer_test.go
@@ -78,7 +78,7 @@
 	}
 }
 
-func TestDroppedLinesAreSaid(t *testing.T) {
+func TestDroppedLinesAreSaid(_ *testing.T) {
 	out := &output{}
 	w := NewWriter(WriterConfig{Out: out, BufferBytes: 200})
 	for i := range 10 {
