Read an answer's head once, reserve once, keep the meter's defaults in one place

Cause: the last reading of the change: each answer's head was decoded twice, a reservation that found too little was tried twice at once, defaults of leases stood in nutmegmeter and nutmegconf with other values, two fields were set and never read. A setting of 0 for budget.even or budget.leased means 0 now; before, the meter's own default took its place.

--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -24,17 +24,6 @@
 )
 
 const (
-	// DefaultHorizon is the span of spend that a lease covers: as long as an
-	// instance is usually cut off from the store.
-	DefaultHorizon = 10 * time.Second
-	// DefaultLeased is the share of a budget that is leased. What stays in the
-	// store is out of reach while the store is away.
-	DefaultLeased = 0.6
-	// DefaultEven is the share of the leases that is divided evenly.
-	DefaultEven = 0.25
-	// DefaultSpread is the size of the request that a typical token belongs to.
-	DefaultSpread = 30_000
-
 	rateWeight     = 0.15            // of the newest commit interval
 	settleAfter    = 4 * time.Second // of spend while the lease is large enough
 	commitInterval = 1000 * time.Millisecond
@@ -48,17 +37,18 @@
 	retryAfter     = 400 * time.Millisecond
 )
 
-// Config configures a meter.
+// Config configures a meter. Horizon, Leased, Even and Spread are those of
+// nutmegbudget.FairShare; their defaults stand with the settings.
 type Config struct {
 	Writer      *nutmegstore.Writer
 	StoreUp     func() bool
 	View        *nutmegview.View
 	Incarnation nutmegid.Incarnation
 	Instance    nutmegid.Instance
-	Horizon     time.Duration                                       // DefaultHorizon when zero
-	Leased      float64                                             // DefaultLeased when zero
-	Even        float64                                             // DefaultEven when zero
-	Spread      nutmegid.Tokens                                     // DefaultSpread when zero
+	Horizon     time.Duration // of spend that a lease covers
+	Leased      float64
+	Even        float64
+	Spread      nutmegid.Tokens
 	Peers       nutmegbudget.Peers                                  // that tokens are asked of; nil for none
 	OnCommit    func(c nutmegbudget.Committed)                      // nil for none
 	OnTransfer  func(id nutmegid.BudgetID, t nutmegbudget.Transfer) // nil for none
@@ -73,18 +63,6 @@
 
 // New returns a meter without leases.
 func New(cfg Config) *Meter {
-	if cfg.Horizon == 0 {
-		cfg.Horizon = DefaultHorizon
-	}
-	if cfg.Leased == 0 {
-		cfg.Leased = DefaultLeased
-	}
-	if cfg.Even == 0 {
-		cfg.Even = DefaultEven
-	}
-	if cfg.Spread == 0 {
-		cfg.Spread = DefaultSpread
-	}
 	return &Meter{cfg: cfg, demand: newDemand()}
 }
 
@@ -164,9 +142,6 @@
 	if !urgent && holder.Short(id) {
 		floor = m.demand.expect(call.Workspace, urgentSpan, call.Arrived)
 	}
-	if r, ok := holder.ReserveAbove(id, "", n, floor); ok {
-		return r, nil
-	}
 	r, err := holder.AcquireAbove(ctx, id, "", n, floor)
 	switch {
 	case err == nil:
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -42,7 +42,6 @@
 // Ticket is one request's place at an upstream. Done must be called.
 type Ticket struct {
 	Upstream nutmegview.Upstream
-	Kept     bool // the upstream is believed to keep the shared prompt parts
 
 	candidate *candidate
 	tokens    int64 // counted as pending
@@ -139,7 +138,7 @@
 			Detail: "all upstreams of service " + string(ask.Service) + " are full",
 		}
 	}
-	t := &Ticket{Upstream: best.Upstream, Kept: kept, candidate: best, tokens: p.unread(ask, kept)}
+	t := &Ticket{Upstream: best.Upstream, candidate: best, tokens: p.unread(ask, kept)}
 	best.begin(t.tokens, now)
 	if id, _, ok := ask.Prompt.Shared(); ok {
 		p.kept.use(id, best.ID, now)
--- a/internal/traffic/nutmegrelay/run.go
+++ b/internal/traffic/nutmegrelay/run.go
@@ -40,7 +40,7 @@
 	sends   int // that reached an upstream
 	runs    int // upstreams that may have run it
 	ran     nutmegcall.Ran
-	busy    int // upstreams that refused
+	head    Head // of the latest answer
 	events  nutmegevent.Splitter
 	began   bool // the answer's head was passed on
 	outcome nutmegcall.Outcome
@@ -202,7 +202,7 @@
 	defer resp.Close()
 	r.sends++
 	r.outcome.Sends = r.sends
-	head := cfg.Wire.Head(resp.Response)
+	head := r.head
 	if head.Load != nil {
 		cfg.Placer.Report(t, *head.Load, cfg.Moment())
 	}
@@ -250,11 +250,11 @@
 	return ""
 }
 
-// belongs says whether an answer is to this call and not to an earlier one on
-// the same connection.
+// belongs decodes an answer's head and says whether it is to this call and not
+// to an earlier one on the same connection.
 func (r *run) belongs(resp *http.Response) bool {
-	id := r.relay.cfg.Wire.Head(resp).Request
-	return id == "" || id == r.call.ID
+	r.head = r.relay.cfg.Wire.Head(resp)
+	return r.head.Request == "" || r.head.Request == r.call.ID
 }
 
 // unanswered judges a sending without an answer's head.
@@ -294,7 +294,6 @@
 	if head.Moved {
 		result = nutmegplace.ResultGone
 	}
-	r.busy++
 	r.relay.cfg.Placer.Done(t, result, r.relay.cfg.Moment())
 	_, err := readSmall(resp)
 	return attemptNotRun, errors.Join(fmt.Errorf("refused with status %d", resp.StatusCode), err)
