Let one instance of a failure domain lease each shard's budgets; the others ask it

Cause: at 71 instances every instance leased tokens of all 24 workspaces: 45 and more wrote to each of five objects. Each instance also asked for changes of 140 upstreams six times a second. Changes: homes of a shard are chosen by rendezvous hashing, homes_per_domain of each failure domain; other instances ask a home for each request's tokens over drpc and report what was used once a second; leases follow what is asked for since the last tick; changes of upstreams are gathered for 0.4 s.

--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -50,8 +50,15 @@
 	Even        float64
 	Spread      nutmegid.Tokens
 	Peers       nutmegbudget.Peers                                  // that tokens are asked of; nil for none
+	Homes       Homes                                               // that hold tokens for this instance; nil for none
 	OnCommit    func(c nutmegbudget.Committed)                      // nil for none
 	OnTransfer  func(id nutmegid.BudgetID, t nutmegbudget.Transfer) // nil for none
+	// OnHomeLost is told of homes that gave a request no answer, OnExpired of
+	// reservations that peers have not settled, OnUnsettled of settlements that
+	// a home has not taken in time; nil for none.
+	OnHomeLost  func(home nutmegview.Instance, call *nutmegcall.Call, err error)
+	OnExpired   func(reservations int)
+	OnUnsettled func(home nutmegview.Instance, settlements int)
 }
 
 // Meter reserves and settles the tokens of workspaces.
@@ -59,11 +66,28 @@
 	cfg    Config
 	demand *demand
 	holder atomic.Pointer[nutmegbudget.Holder] // nil until the meter is open
+	lent   *lent
+	outbox *outbox
+	quit   chan struct{}
+	done   chan struct{}
 }
 
 // New returns a meter without leases.
 func New(cfg Config) *Meter {
-	return &Meter{cfg: cfg, demand: newDemand()}
+	if cfg.OnHomeLost == nil {
+		cfg.OnHomeLost = func(nutmegview.Instance, *nutmegcall.Call, error) {}
+	}
+	if cfg.OnExpired == nil {
+		cfg.OnExpired = func(int) {}
+	}
+	if cfg.OnUnsettled == nil {
+		cfg.OnUnsettled = func(nutmegview.Instance, int) {}
+	}
+	m := &Meter{cfg: cfg, demand: newDemand(), lent: newLent(), quit: make(chan struct{}), done: make(chan struct{})}
+	if cfg.Homes != nil {
+		m.outbox = newOutbox(cfg.Homes.Settle, cfg.OnUnsettled)
+	}
+	return m
 }
 
 // Open begins to lease tokens of budgets that are spread over a number of
@@ -96,6 +120,9 @@
 	})
 	holder.Start()
 	m.holder.Store(holder)
+	if cfg.Homes != nil {
+		go m.loop()
+	}
 }
 
 // IsOpen says whether tokens can be reserved.
@@ -118,38 +145,71 @@
 	s.SetAmounts(c.Revision, amounts)
 }
 
-// Stop settles all spend and returns the leases to the store.
+// Stop settles all spend and returns the leases to the store. What peers have
+// not settled counts as used.
 func (m *Meter) Stop(ctx context.Context) error {
-	if holder := m.holder.Load(); holder != nil {
-		return holder.Stop(ctx)
+	holder := m.holder.Load()
+	if holder == nil {
+		return nil
+	}
+	if m.cfg.Homes != nil {
+		close(m.quit)
+		<-m.done
+		m.flush(time.Now())
 	}
-	return nil
+	if left := m.lent.expireAll(); left > 0 {
+		m.cfg.OnExpired(left)
+	}
+	return holder.Stop(ctx)
+}
+
+// want is what a request needs of a workspace's tokens.
+type want struct {
+	workspace nutmegid.Workspace
+	tokens    nutmegid.Tokens // at most
+	urgent    bool            // goes before others
+	at        time.Time
 }
 
-// Reserve implements nutmegrelay.Budget. While the store has nothing to give,
-// what urgent requests will need is kept from the others.
+// Reserve implements nutmegrelay.Budget.
 func (m *Meter) Reserve(ctx context.Context, call *nutmegcall.Call) (nutmegrelay.Reservation, *nutmegcall.Refusal) {
-	id, n := nutmegid.WorkspaceBudget(call.Workspace), call.Prompt.Bound()
-	urgent := call.Route.Priority == mostUrgent
-	if urgent {
-		m.demand.note(call.Workspace, n, call.Arrived)
+	if m.cfg.Homes != nil {
+		if homes := m.cfg.Homes.Homes(call.Workspace); len(homes) > 0 {
+			return m.reserveAtHome(ctx, homes, call)
+		}
+	}
+	r, refusal := m.reserveHere(ctx, want{
+		workspace: call.Workspace, tokens: call.Prompt.Bound(), urgent: call.Route.Priority == mostUrgent, at: call.Arrived,
+	})
+	if refusal != nil {
+		return nil, refusal
+	}
+	return r, nil
+}
+
+// reserveHere takes tokens of this instance's leases. While the store has
+// nothing to give, what urgent requests will need is kept from the others.
+func (m *Meter) reserveHere(ctx context.Context, w want) (nutmegbudget.Reservation, *nutmegcall.Refusal) {
+	id := nutmegid.WorkspaceBudget(w.workspace)
+	if w.urgent {
+		m.demand.note(w.workspace, w.tokens, w.at)
 	}
 	holder := m.holder.Load()
 	if holder == nil {
-		return nil, unreachable("this instance has not joined the fleet yet")
+		return nutmegbudget.Reservation{}, unreachable("this instance has not joined the fleet yet")
 	}
 	var floor nutmegid.Tokens
-	if !urgent && holder.Short(id) {
-		floor = m.demand.expect(call.Workspace, urgentSpan, call.Arrived)
+	if !w.urgent && holder.Short(id) {
+		floor = m.demand.expect(w.workspace, urgentSpan, w.at)
 	}
-	r, err := holder.AcquireAbove(ctx, id, "", n, floor)
+	r, err := holder.AcquireAbove(ctx, id, "", w.tokens, floor)
 	switch {
 	case err == nil:
 		return r, nil
-	case nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && holder.Unspent(id) < n:
-		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: err.Error()}
+	case nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && holder.Unspent(id) < w.tokens:
+		return nutmegbudget.Reservation{}, &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: err.Error()}
 	}
-	return nil, unreachable(err.Error())
+	return nutmegbudget.Reservation{}, unreachable(err.Error())
 }
 
 // Give answers a peer's request for tokens.
--- a/internal/fleet/nutmegfollow/upstreams.go
+++ b/internal/fleet/nutmegfollow/upstreams.go
@@ -16,6 +16,8 @@
 	// lapseGap is the shortest outage in which entries of living upstreams
 	// lapse: they are renewed more often than that.
 	lapseGap = 2500 * time.Millisecond
+	// batchPause is how long changes are gathered before they are asked for.
+	batchPause = 400 * time.Millisecond
 	// expiryPause is the time between two looks at entries that nobody waits for.
 	expiryPause = time.Minute
 )
@@ -103,6 +105,8 @@
 	done    chan struct{}
 }
 
+// run gathers the changes of a moment in one batch: with many upstreams,
+// something changes all the time.
 func (w *watch) run(ctx context.Context) {
 	defer close(w.done)
 	w.store.FollowBatches(ctx, w.kind, "", func(b nutmegstore.Batch) {
@@ -110,6 +114,10 @@
 		case w.batches <- b:
 		case <-ctx.Done():
 		}
+		select {
+		case <-time.After(batchPause):
+		case <-ctx.Done():
+		}
 	})
 }
 
--- a/internal/fleet/nutmegroster/budgets.go
+++ b/internal/fleet/nutmegroster/budgets.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	mathrand "math/rand/v2"
 
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -11,6 +12,7 @@
 
 var (
 	errNoPeer       = errors.New("the instance is not reachable")
+	errElsewhere    = errors.New("the instance holds no tokens for others now")
 	errNotSupported = errors.New("instances on the platform write to the store themselves")
 )
 
@@ -25,6 +27,18 @@
 	return live
 }
 
+// Holders implements nutmegbudget.Peers.
+func (r *Roster) Holders(id nutmegid.BudgetID) []nutmegid.Incarnation {
+	var holders []nutmegid.Incarnation
+	for _, i := range r.answering(r.homesOfBudget(id)) {
+		if i.Name != r.cfg.Self.Name {
+			holders = append(holders, i.Incarnation)
+		}
+	}
+	mathrand.Shuffle(len(holders), func(a, b int) { holders[a], holders[b] = holders[b], holders[a] })
+	return holders
+}
+
 // Witnesses implements nutmegbudget.Peers. Leases are not witnessed here.
 func (r *Roster) Witnesses() []nutmegid.Incarnation {
 	return nil
--- /dev/null
+++ b/internal/fleet/nutmegroster/homes_test.go
@@ -0,0 +1,159 @@
+package nutmegroster
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/nutmegbudget"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// fleetOf returns n instances in three failure domains.
+func fleetOf(n int) []nutmegview.Instance {
+	var all []nutmegview.Instance
+	for i := range n {
+		all = append(all, nutmegview.Instance{
+			Name: nutmegid.Instance(fmt.Sprint("instance-", i)), Incarnation: nutmegid.Incarnation(fmt.Sprint("boot-", i)),
+			FailureDomain: nutmegid.FailureDomain(fmt.Sprint("domain-", i%3)),
+		})
+	}
+	return all
+}
+
+// rosterOf returns the roster of one instance that knows all.
+func rosterOf(all []nutmegview.Instance, self, perDomain int) *Roster {
+	r := New(Config{Self: all[self], HomesPerDomain: perDomain})
+	var others []nutmegview.Instance
+	for i, one := range all {
+		if i != self {
+			others = append(others, one)
+		}
+	}
+	r.known.Store(&others)
+	r.shards.Store(5)
+	return r
+}
+
+func shard(i int) string {
+	return nutmegbudget.ShardName(i)
+}
+
+func workspace(i int) nutmegid.Workspace {
+	return nutmegid.Workspace(fmt.Sprint("workspace-", i))
+}
+
+func TestEachFailureDomainHasHomesOfAShard(t *testing.T) {
+	all := fleetOf(71)
+	for w := range 24 {
+		count := make(map[nutmegid.FailureDomain]int)
+		for _, home := range homesOf(shard(w), all, 3) {
+			count[home.FailureDomain]++
+		}
+		if diff := cmp.Diff(map[nutmegid.FailureDomain]int{"domain-0": 3, "domain-1": 3, "domain-2": 3}, count); diff != "" {
+			t.Errorf("homes of %s by failure domain (-want +got):\n%s", shard(w), diff)
+		}
+	}
+}
+
+func TestShardsAreSpreadOverTheFleet(t *testing.T) {
+	const shards, instances, perDomain = 520, 71, 3
+	all := fleetOf(instances)
+	load := make(map[nutmegid.Instance]int)
+	for w := range shards {
+		for _, home := range homesOf(shard(w), all, perDomain) {
+			load[home.Name]++
+		}
+	}
+	mean := float64(shards*3*perDomain) / instances
+	for _, i := range all {
+		if got := float64(load[i.Name]); got < mean/2 || got > mean*2 {
+			t.Errorf("%s is a home of %v shards, the mean is %v", i.Name, got, mean)
+		}
+	}
+}
+
+func TestOneInstanceMoreMovesFewShards(t *testing.T) {
+	moved := 0
+	for w := range 500 {
+		before := make(map[nutmegid.Instance]bool)
+		for _, home := range homesOf(shard(w), fleetOf(71), 3) {
+			before[home.Name] = true
+		}
+		for _, home := range homesOf(shard(w), fleetOf(72), 3) {
+			if !before[home.Name] {
+				moved++
+			}
+		}
+	}
+	// A domain of 24 instances gives the new one 3 of its 24 x 3 places a shard.
+	if expected := 500 * 3 / 24; moved > 2*expected {
+		t.Errorf("%d of 4500 homes moved to a new instance, about %d are its share", moved, expected)
+	}
+}
+
+func TestTheNearestHomesComeFirst(t *testing.T) {
+	all := fleetOf(71)
+	for w := range 24 {
+		homes := rosterOf(all, 5, 3).Homes(workspace(w))
+		if len(homes) == 0 {
+			continue // the instance is a home itself
+		}
+		for i, home := range homes {
+			if near := home.FailureDomain == all[5].FailureDomain; near != (i < 3) {
+				t.Errorf("home %d of %s is in %s, the instance in %s", i, workspace(w), home.FailureDomain, all[5].FailureDomain)
+			}
+		}
+	}
+}
+
+func TestInstancesShareTheHomesOfTheirDomain(t *testing.T) {
+	all := fleetOf(71)
+	first := make(map[nutmegid.Instance]int)
+	for self := range all {
+		if homes := rosterOf(all, self, 3).Homes("rack"); len(homes) > 0 {
+			first[homes[0].Name]++
+		}
+	}
+	if len(first) != 9 {
+		t.Errorf("%d homes are asked first, there are 9: %v", len(first), first)
+	}
+}
+
+func TestInstancesOfASmallFleetLeaseThemselves(t *testing.T) {
+	all := fleetOf(7)
+	for self := range all {
+		if homes := rosterOf(all, self, 3).Homes("rack"); len(homes) > 0 {
+			t.Errorf("%s asks %v", all[self].Name, homes)
+		}
+	}
+}
+
+func TestSilentHomesAreLeftOut(t *testing.T) {
+	all := fleetOf(71)
+	r := rosterOf(all, 5, 3)
+	homes := r.Homes("desk")
+	if len(homes) == 0 {
+		t.Fatal("the instance is a home; choose another workspace")
+	}
+	r.called(homes[0].Incarnation, errElsewhere)
+	if diff := cmp.Diff(homes[1:], r.Homes("desk")); diff != "" {
+		t.Errorf("homes after the first was silent (-want +got):\n%s", diff)
+	}
+}
+
+func TestWorkspacesOfOneShardHaveTheSameHomes(t *testing.T) {
+	r := rosterOf(fleetOf(71), 5, 3)
+	homes := make(map[int][]nutmegview.Instance)
+	for w := range 200 {
+		n := nutmegbudget.ShardOf(nutmegid.WorkspaceBudget(workspace(w)), 5)
+		got := r.Homes(workspace(w))
+		sortByWeight(got, "any")
+		if want, known := homes[n]; known && !cmp.Equal(want, got) {
+			t.Errorf("homes of %s in shard %d (-others of the shard +its own):\n%s", workspace(w), n, cmp.Diff(want, got))
+		}
+		homes[n] = got
+	}
+}
--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -57,6 +57,11 @@
 	Dial    func(ctx context.Context, network, address string) (net.Conn, error)
 	Budgets nutmegpeer.Budgets // answers peers that ask for tokens
 	Library nutmegpeer.Library // answers peers that ask for the configuration
+	// Reservations holds tokens for requests of peers.
+	Reservations nutmegpeer.Reservations
+	// HomesPerDomain is how many instances of a failure domain lease tokens of
+	// one workspace; the others ask these.
+	HomesPerDomain int
 	// Shards returns over how many objects a new fleet spreads its budgets, 0
 	// while that can't be said. OnFleet is told what the fleet has agreed on.
 	Shards   func() int
@@ -71,7 +76,10 @@
 	cfg   Config
 	known atomic.Pointer[[]nutmegview.Instance]
 	peers atomic.Pointer[nutmegpeer.Peers] // nil until the key is known
-	done  chan struct{}
+	// shards is the number of objects that budgets are spread over, 0 until it
+	// is known.
+	shards atomic.Int32
+	done   chan struct{}
 
 	mu     sync.Mutex
 	silent map[nutmegid.Incarnation]silence
@@ -194,19 +202,21 @@
 			Instance: r.cfg.Self.Name, Incarnation: r.cfg.Self.Incarnation,
 			FailureDomain: r.cfg.Self.FailureDomain, Address: r.cfg.Self.PeerAddress,
 		},
-		Dial:        r.cfg.Dial,
-		Interval:    peerInterval,
-		CallTimeout: callTimeout,
-		IdleTimeout: peerIdle,
-		Budgets:     r.cfg.Budgets,
-		Library:     r.cfg.Library,
-		Metrics:     r.cfg.Metrics,
+		Dial:         r.cfg.Dial,
+		Interval:     peerInterval,
+		CallTimeout:  callTimeout,
+		IdleTimeout:  peerIdle,
+		Budgets:      r.cfg.Budgets,
+		Library:      r.cfg.Library,
+		Reservations: r.cfg.Reservations,
+		Metrics:      r.cfg.Metrics,
 	})
 	if err := peers.Start(l); err != nil {
 		r.cfg.Log.WithField("event", "peers_unavailable").WithError(err).Error("calls of peers are not taken")
 		return false
 	}
 	r.peers.Store(peers)
+	r.shards.Store(int32(doc.Body.BudgetShards))
 	r.cfg.OnFleet(doc.Body.BudgetShards)
 	return true
 }
@@ -238,17 +248,23 @@
 // reachable returns the other instances that have not failed a call lately, in
 // random order.
 func (r *Roster) reachable() []nutmegview.Instance {
+	list := r.answering(r.others())
+	mathrand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
+	return list
+}
+
+// answering leaves those out that have not answered lately.
+func (r *Roster) answering(list []nutmegview.Instance) []nutmegview.Instance {
 	now := time.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var list []nutmegview.Instance
-	for _, i := range r.others() {
+	var answering []nutmegview.Instance
+	for _, i := range list {
 		if now.After(r.silent[i.Incarnation].until) {
-			list = append(list, i)
+			answering = append(answering, i)
 		}
 	}
-	mathrand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
-	return list
+	return answering
 }
 
 // called notes how a call of a peer went.
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -88,10 +88,11 @@
 
 	callers   *nutmegserve.Server
 	readiness *nutmegserve.Server
-	exposed   *nutmegserve.Server      // metrics; nil where the address is taken
-	stopping  atomic.Pointer[stopping] // nil until the instance stops
-	running   atomic.Int64             // requests in progress
-	bodyBytes atomic.Int64             // of requests in progress
+	exposed   *nutmegserve.Server                    // metrics; nil where the address is taken
+	stopping  atomic.Pointer[stopping]               // nil until the instance stops
+	amounts   map[nutmegid.Workspace]nutmegid.Tokens // of the latest configuration, for the log
+	running   atomic.Int64                           // requests in progress
+	bodyBytes atomic.Int64                           // of requests in progress
 	endRuns   context.CancelCauseFunc
 	runs      context.Context // ends when running requests are cut
 	unfollow  context.CancelFunc
@@ -146,7 +147,7 @@
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
 		Client: e.client, Writer: e.writer, Dial: dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
-		Budgets: budgetServer{e}, Library: library{e}, Shards: e.budgetShards, OnFleet: func(shards int) { e.meter.Open(shards) },
+		Budgets: budgetServer{e}, Reservations: reservationServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, Library: library{e}, Shards: e.budgetShards, OnFleet: func(shards int) { e.meter.Open(shards) },
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
 		},
@@ -155,6 +156,7 @@
 		Writer: e.writer, StoreUp: e.client.Up, View: e.view, Incarnation: e.incarnation, Instance: s.Instance.Name,
 		Horizon: time.Duration(s.Budget.Horizon), Leased: s.Budget.Leased, Even: s.Budget.Even, Spread: s.Budget.SpreadTokens, OnCommit: e.committed,
 		Peers: e.roster, OnTransfer: e.received,
+		Homes: e.roster, OnHomeLost: e.homeLost, OnExpired: e.expired, OnUnsettled: e.unsettled,
 	})
 }
 
@@ -265,7 +267,7 @@
 }
 
 // awaitIdle waits until the balancer has taken the instance out and no request
-// runs, or ctx ends.
+// runs here or with tokens that are held here, or ctx ends.
 func (e *Entry) awaitIdle(ctx context.Context) {
 	timer := time.NewTimer(balancerTime)
 	defer timer.Stop()
@@ -275,7 +277,7 @@
 			return
 		case <-timer.C:
 		}
-		if e.running.Load() == 0 {
+		if e.running.Load() == 0 && e.meter.Lent() == 0 {
 			return
 		}
 		timer.Reset(idlePoll)
--- a/internal/instance/nutmegentry/journal.go
+++ b/internal/instance/nutmegentry/journal.go
@@ -13,6 +13,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
 	"github.com/nutmegwind/nutmegwind/nutmegbudget"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
@@ -38,6 +39,20 @@
 	e.event("config_applied").WithFields(logrus.Fields{
 		"revision": c.Revision, "routes": len(c.Routes), "services": len(c.Services), "workspaces": len(c.Workspaces),
 	}).Info("a configuration is in force")
+	e.logAmounts(c.Prepaid())
+}
+
+// logAmounts logs the prepaid amounts that differ from those before. Calls do
+// not overlap.
+func (e *Entry) logAmounts(amounts map[nutmegid.Workspace]nutmegid.Tokens) {
+	for name, tokens := range amounts {
+		if before, known := e.amounts[name]; known && before != tokens {
+			e.event("prepaid_changed").WithFields(logrus.Fields{
+				"workspace": name, "before": before, "prepaid": tokens,
+			}).Info("the prepaid amount of a workspace has changed")
+		}
+	}
+	e.amounts = amounts
 }
 
 func (e *Entry) configUnreadable(o nutmegstore.Object, err error) {
@@ -66,6 +81,38 @@
 	}).Info("a peer gave tokens")
 }
 
+// reservedFor logs a decision on a request that another instance serves.
+func (e *Entry) reservedFor(ask nutmegpeer.ReserveAsk, answer nutmegpeer.ReserveAnswer) {
+	e.count("peer_reservations_" + string(answer.Outcome))
+	entry := e.event("peer_reservation").WithFields(logrus.Fields{
+		"request": ask.Request, "reservation": ask.Reservation, "workspace": ask.Workspace, "bound": ask.Tokens, "outcome": answer.Outcome,
+	})
+	if answer.Outcome == nutmegpeer.ReserveHeld {
+		entry.Info("tokens are held for a request of a peer")
+		return
+	}
+	entry.WithField("detail", answer.Detail).Warn("no tokens were held for a request of a peer")
+}
+
+func (e *Entry) homeLost(home nutmegview.Instance, c *nutmegcall.Call, err error) {
+	e.count("homes_lost")
+	e.event("home_unreachable").WithFields(logrus.Fields{
+		"request": c.ID, "workspace": c.Workspace, "home": home.Name, "home_incarnation": home.Incarnation,
+	}).WithError(err).Warn("an instance did not say whether it holds tokens for a request")
+}
+
+func (e *Entry) expired(reservations int) {
+	metrics.GetOrRegisterCounter("peer_reservations_expired", e.metrics).Inc(int64(reservations))
+	e.event("peer_reservations_expired").WithField("reservations", reservations).Warn("peers have not settled reservations; they count as used up")
+}
+
+func (e *Entry) unsettled(home nutmegview.Instance, settlements int) {
+	metrics.GetOrRegisterCounter("settlements_dropped", e.metrics).Inc(int64(settlements))
+	e.event("settlements_dropped").WithFields(logrus.Fields{
+		"home": home.Name, "home_incarnation": home.Incarnation, "settlements": settlements,
+	}).Warn("an instance has not taken what requests used; it counts them as using all they reserved")
+}
+
 func (e *Entry) instancesChanged(n int) {
 	e.event("instances_changed").WithField("instances", n).Info("the list of instances has changed")
 }
--- a/internal/instance/nutmegentry/peers.go
+++ b/internal/instance/nutmegentry/peers.go
@@ -39,6 +39,28 @@
 	return nil, errNoShards
 }
 
+// reservationServer holds tokens for requests of peers.
+type reservationServer struct {
+	entry *Entry
+}
+
+// Reserve implements nutmegpeer.Reservations. A stopping instance holds nothing
+// new: it may end before the request does.
+func (s reservationServer) Reserve(ctx context.Context, ask nutmegpeer.ReserveAsk) nutmegpeer.ReserveAnswer {
+	e := s.entry
+	answer := nutmegpeer.ReserveAnswer{Outcome: nutmegpeer.ReserveElsewhere, Detail: "the instance stops"}
+	if e.stopping.Load() == nil {
+		answer = e.meter.ReserveFor(ctx, ask)
+	}
+	e.reservedFor(ask, answer)
+	return answer
+}
+
+// Settle implements nutmegpeer.Reservations.
+func (s reservationServer) Settle(settlements []nutmegpeer.Settlement) {
+	s.entry.meter.SettleFor(settlements)
+}
+
 // budgetShards returns over how many objects a new fleet spreads the budgets of
 // its workspaces, 0 before the configuration is known.
 func (e *Entry) budgetShards() int {
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -23,6 +23,7 @@
 	returning nutmegid.Tokens // being given back by the commit under way
 	need      nutmegid.Tokens // lacking for waiting requests
 	interval  nutmegid.Tokens // used since the last tick
+	asked     nutmegid.Tokens // asked for since the last tick
 	rate      float64         // tokens a second
 	smoothed  float64         // of the rate, as if there had been no spend before the first tick
 	unseen    float64         // weight in smoothed of the time before the first tick
@@ -63,6 +64,7 @@
 	}
 	a.free -= n
 	a.reserved += n
+	a.asked += n
 	return true
 }
 
@@ -72,6 +74,7 @@
 	defer a.mu.Unlock()
 	a.reserved -= n
 	a.free += n
+	a.asked -= n
 	a.assert()
 }
 
@@ -190,7 +193,7 @@
 	}
 	a.free -= a.returning
 	e := Entry{
-		Budget: a.id, Settle: a.settling, GiveBack: a.returning, Need: a.need, Rate: a.rate, Acked: a.acked,
+		Budget: a.id, Settle: a.settling, GiveBack: a.returning, Need: a.need, Rate: a.pace(), Acked: a.acked,
 		Plain: a.terms.Slice == 0, Idle: a.idle(),
 	}
 	for _, m := range a.transfers {
@@ -225,7 +228,7 @@
 // view is what the holder knows of the budget, for its policy.
 func (a *account) view(held nutmegid.Tokens) View {
 	return View{
-		Rate: a.rate, Held: held, Granted: a.granted, Prepaid: maxTokens, Remaining: a.remaining, Holders: a.holders, Idle: a.idle(),
+		Rate: a.pace(), Held: held, Granted: a.granted, Prepaid: maxTokens, Remaining: a.remaining, Holders: a.holders, Idle: a.idle(),
 		Live: a.live.tokens, TotalRate: a.live.rate, LiveHolders: a.live.holders,
 	}
 }
@@ -251,6 +254,14 @@
 		a.quiet = 0
 	}
 	a.interval = 0
+	a.asked = 0
+}
+
+// pace returns the tokens a second that are spent, at least what is asked for
+// since the last tick: requests settle late, and a sudden rush must not wait
+// for the next tick.
+func (a *account) pace() float64 {
+	return max(a.rate, float64(a.asked+a.need)/a.committer.holder.cfg.CommitInterval.Seconds())
 }
 
 func (a *account) idle() bool {
--- a/nutmegbudget/double_test.go
+++ b/nutmegbudget/double_test.go
@@ -220,6 +220,10 @@
 	return nil
 }
 
+func (n *busNode) Holders(nutmegid.BudgetID) []nutmegid.Incarnation {
+	return n.Live()
+}
+
 func (n *busNode) Live() []nutmegid.Incarnation {
 	var live []nutmegid.Incarnation
 	for _, peer := range n.bus.all() {
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -27,6 +27,8 @@
 type Peers interface {
 	// Live lists the other holders that are believed to be up.
 	Live() []nutmegid.Incarnation
+	// Holders lists those of them that may have tokens of a budget.
+	Holders(id nutmegid.BudgetID) []nutmegid.Incarnation
 	// Witnesses lists live holders in other failure domains, the best first.
 	Witnesses() []nutmegid.Incarnation
 	// Ask asks one holder to give tokens.
@@ -103,7 +105,7 @@
 
 // candidates are the live peers, those with known leases first.
 func (h *Holder) candidates(a *account) []nutmegid.Incarnation {
-	live := h.cfg.Peers.Live()
+	live := h.cfg.Peers.Holders(a.id)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var list []nutmegid.Incarnation
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -72,5 +72,6 @@
 	minMemoryMB      = 32
 	maxMemoryMB      = 1 << 20
 	minDescriptors   = 256
+	maxHomes         = 1000 // instances of a failure domain that lease one budget
 	maxDescriptors   = 1 << 20
 )
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -61,6 +61,9 @@
 	Even    float64  `toml:"even"`    // share of the leases that is divided evenly
 	// SpreadTokens is the size of the request that a typical token belongs to.
 	SpreadTokens nutmegid.Tokens `toml:"spread_tokens"`
+	// HomesPerDomain is how many instances of a failure domain lease tokens of
+	// one workspace; the others ask these for each request.
+	HomesPerDomain int `toml:"homes_per_domain"`
 }
 
 // Defaults of the entry settings.
@@ -73,6 +76,8 @@
 	DefaultEntryEven = 0.25
 	// DefaultEntrySpreadTokens is the size of the request that a typical token belongs to.
 	DefaultEntrySpreadTokens = 30_000
+	// DefaultEntryHomesPerDomain is how many instances of a failure domain lease tokens of a workspace.
+	DefaultEntryHomesPerDomain = 1
 	// DefaultStopTimeout is how long a stopping instance waits for running requests.
 	DefaultStopTimeout = 8 * time.Second
 	// DefaultMemoryMB is the memory that an instance may use where nothing is said.
@@ -87,8 +92,11 @@
 		Limits: EntryLimitSettings{
 			MemoryMB: DefaultMemoryMB, FileDescriptors: DefaultFileDescriptors, StopTimeout: Duration(DefaultStopTimeout),
 		},
-		Budget: EntryBudgetSettings{Horizon: Duration(DefaultEntryHorizon), Leased: DefaultEntryLeased, Even: DefaultEntryEven, SpreadTokens: DefaultEntrySpreadTokens},
-		Log:    LogSettings{Level: "info", Format: "json"},
+		Budget: EntryBudgetSettings{
+			Horizon: Duration(DefaultEntryHorizon), Leased: DefaultEntryLeased, Even: DefaultEntryEven,
+			SpreadTokens: DefaultEntrySpreadTokens, HomesPerDomain: DefaultEntryHomesPerDomain,
+		},
+		Log: LogSettings{Level: "info", Format: "json"},
 	}
 }
 
@@ -131,6 +139,7 @@
 	c.between("budget.leased", s.Budget.Leased, 0, 1)
 	c.between("budget.even", s.Budget.Even, 0, 1)
 	c.between("budget.spread_tokens", float64(s.Budget.SpreadTokens), 1, maxTokens)
+	c.between("budget.homes_per_domain", float64(s.Budget.HomesPerDomain), 1, maxHomes)
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json")
 }
--- a/nutmegid/id.go
+++ b/nutmegid/id.go
@@ -61,6 +61,10 @@
 // TransferID identifies one transfer of tokens between two instances.
 type TransferID string
 
+// ReservationID identifies tokens that one instance holds for a request of
+// another.
+type ReservationID string
+
 // PlanID identifies one operator's plan.
 type PlanID string
 
@@ -111,6 +115,11 @@
 	return PlanID(uuid.NewString())
 }
 
+// NewReservationID returns a random reservation id.
+func NewReservationID() ReservationID {
+	return ReservationID(uuid.NewString())
+}
+
 // NewTransferID returns a random transfer id.
 func NewTransferID() TransferID {
 	return TransferID(uuid.NewString())
--- a/nutmegnode/budget_peers.go
+++ b/nutmegnode/budget_peers.go
@@ -28,6 +28,11 @@
 	})
 }
 
+// Holders implements nutmegbudget.Peers. All instances lease all budgets here.
+func (b budgetPeers) Holders(nutmegid.BudgetID) []nutmegid.Incarnation {
+	return b.Live()
+}
+
 // Live implements nutmegbudget.Peers.
 func (b budgetPeers) Live() []nutmegid.Incarnation {
 	return incarnations(b.members())
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -57,12 +57,14 @@
 	IdleTimeout time.Duration // of connections; DefaultIdleTimeout when zero
 	Clock       *nutmegtime.Clock
 	Budgets     Budgets
-	Library     Library
-	Lines       LineKeeper
-	Revision    func() nutmegid.Revision
-	Health      func() (load uint32, ready bool)
-	OnRevision  func(from string, revision nutmegid.Revision) // a peer has a higher revision
-	Metrics     metrics.Registry                              // a private registry when nil
+	// Reservations holds tokens for requests of peers; none when nil.
+	Reservations Reservations
+	Library      Library
+	Lines        LineKeeper
+	Revision     func() nutmegid.Revision
+	Health       func() (load uint32, ready bool)
+	OnRevision   func(from string, revision nutmegid.Revision) // a peer has a higher revision
+	Metrics      metrics.Registry                              // a private registry when nil
 }
 
 // DialFunc opens a connection to a peer.
--- /dev/null
+++ b/nutmegpeer/reserve.go
@@ -0,0 +1,149 @@
+package nutmegpeer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer/peerpb"
+)
+
+// ReserveAsk asks a peer to hold tokens for a request of this instance.
+type ReserveAsk struct {
+	Reservation nutmegid.ReservationID
+	Request     nutmegid.RequestID // for logs
+	Workspace   nutmegid.Workspace
+	Tokens      nutmegid.Tokens // the most that the request can use
+	Urgent      bool            // the request goes before others of its workspace
+	Lasts       time.Duration   // the longest that the request may run
+}
+
+// ReserveOutcome is a peer's answer to a ReserveAsk.
+type ReserveOutcome string
+
+// The outcomes. With all but ReserveHeld, nothing is held.
+const (
+	// ReserveHeld means that the tokens are held until they are settled.
+	ReserveHeld ReserveOutcome = "held"
+	// ReserveExhausted means that the workspace has too few tokens left.
+	ReserveExhausted ReserveOutcome = "exhausted"
+	// ReserveLater means that the workspace has tokens which can't be had now.
+	ReserveLater ReserveOutcome = "later"
+	// ReserveElsewhere means that the peer takes no reservations; another one may.
+	ReserveElsewhere ReserveOutcome = "elsewhere"
+)
+
+// ReserveAnswer is the outcome of a ReserveAsk and its reason for logs.
+type ReserveAnswer struct {
+	Outcome ReserveOutcome
+	Detail  string
+}
+
+// Settlement tells what the request of a reservation has used.
+type Settlement struct {
+	Reservation nutmegid.ReservationID
+	Used        nutmegid.Tokens
+}
+
+// Reservations holds tokens for requests of peers.
+type Reservations interface {
+	// Reserve holds tokens or says why not.
+	Reserve(ctx context.Context, ask ReserveAsk) ReserveAnswer
+	// Settle ends reservations. Unknown ones are ignored.
+	Settle(settlements []Settlement)
+}
+
+// errNoReservations answers calls where the instance holds no tokens for peers.
+var errNoReservations = errors.New("this instance holds no tokens for peers; ask another peer")
+
+// Reserve asks one peer to hold tokens. After an error the peer may hold them.
+func (p *Peers) Reserve(ctx context.Context, address string, ask ReserveAsk) (ReserveAnswer, error) {
+	req := &peerpb.ReserveRequest{
+		Fleet:       p.cfg.Fleet,
+		Reservation: string(ask.Reservation),
+		Request:     string(ask.Request),
+		Workspace:   string(ask.Workspace),
+		Tokens:      int64(ask.Tokens),
+		Urgent:      ask.Urgent,
+		LastsMicros: ask.Lasts.Microseconds(),
+	}
+	var err error
+	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
+		return ReserveAnswer{}, err
+	}
+	var reply *peerpb.ReserveReply
+	err = p.callContext(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		var err error
+		reply, err = client.Reserve(ctx, req)
+		return err
+	})
+	if err != nil {
+		return ReserveAnswer{}, err
+	}
+	if err := p.verify(reply); err != nil {
+		return ReserveAnswer{}, err
+	}
+	if reply.GetReservation() != req.GetReservation() {
+		return ReserveAnswer{}, errDamaged
+	}
+	return ReserveAnswer{Outcome: ReserveOutcome(reply.GetOutcome()), Detail: reply.GetDetail()}, nil
+}
+
+// Settle tells one peer what requests have used. It may be repeated.
+func (p *Peers) Settle(ctx context.Context, address string, settlements []Settlement) error {
+	req := &peerpb.SettleRequest{Fleet: p.cfg.Fleet}
+	for _, s := range settlements {
+		req.Settlements = append(req.Settlements, &peerpb.Settlement{Reservation: string(s.Reservation), Used: int64(s.Used)})
+	}
+	var err error
+	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
+		return err
+	}
+	return p.callContext(ctx, address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		_, err := client.Settle(ctx, req)
+		return err
+	})
+}
+
+// Reserve implements peerpb.DRPCPeerServer.
+func (s *server) Reserve(ctx context.Context, r *peerpb.ReserveRequest) (*peerpb.ReserveReply, error) {
+	if err := s.peers.verify(r); err != nil {
+		return nil, err
+	}
+	if s.peers.cfg.Reservations == nil {
+		return nil, errNoReservations
+	}
+	answer := s.peers.cfg.Reservations.Reserve(ctx, ReserveAsk{
+		Reservation: nutmegid.ReservationID(r.GetReservation()),
+		Request:     nutmegid.RequestID(r.GetRequest()),
+		Workspace:   nutmegid.Workspace(r.GetWorkspace()),
+		Tokens:      nutmegid.Tokens(r.GetTokens()),
+		Urgent:      r.GetUrgent(),
+		Lasts:       time.Duration(r.GetLastsMicros()) * time.Microsecond,
+	})
+	reply := &peerpb.ReserveReply{
+		Fleet: s.peers.cfg.Fleet, Reservation: r.GetReservation(), Outcome: string(answer.Outcome), Detail: answer.Detail,
+	}
+	var err error
+	reply.Mac, err = sign(s.peers.cfg.Key, reply)
+	return reply, err
+}
+
+// Settle implements peerpb.DRPCPeerServer.
+func (s *server) Settle(_ context.Context, r *peerpb.SettleRequest) (*peerpb.SettleReply, error) {
+	if err := s.peers.verify(r); err != nil {
+		return nil, err
+	}
+	if s.peers.cfg.Reservations == nil {
+		return nil, errNoReservations
+	}
+	settlements := make([]Settlement, 0, len(r.GetSettlements()))
+	for _, one := range r.GetSettlements() {
+		settlements = append(settlements, Settlement{
+			Reservation: nutmegid.ReservationID(one.GetReservation()), Used: nutmegid.Tokens(one.GetUsed()),
+		})
+	}
+	s.peers.cfg.Reservations.Settle(settlements)
+	return &peerpb.SettleReply{}, nil
+}
