Give no tokens away after the leases were returned

A stopping instance was asked by one that was cut off from the store. The asked one waited for the commit under way, which returned all its leases; the undone entry put the returned tokens back as free, and they were given away.

--- a/internal/fleet/nutmegroster/homes_test.go
+++ b/internal/fleet/nutmegroster/homes_test.go
@@ -24,8 +24,8 @@
 }
 
 // rosterOf returns the roster of one instance that knows all.
-func rosterOf(all []nutmegview.Instance, self, perDomain int) *Roster {
-	r := New(Config{Self: all[self], HomesPerDomain: perDomain})
+func rosterOf(all []nutmegview.Instance, self int) *Roster {
+	r := New(Config{Self: all[self], HomesPerDomain: 3})
 	var others []nutmegview.Instance
 	for i, one := range all {
 		if i != self {
@@ -97,7 +97,7 @@
 func TestTheNearestHomesComeFirst(t *testing.T) {
 	all := fleetOf(71)
 	for w := range 24 {
-		homes := rosterOf(all, 5, 3).Homes(workspace(w))
+		homes := rosterOf(all, 5).Homes(workspace(w))
 		if len(homes) == 0 {
 			continue // the instance is a home itself
 		}
@@ -113,7 +113,7 @@
 	all := fleetOf(71)
 	first := make(map[nutmegid.Instance]int)
 	for self := range all {
-		if homes := rosterOf(all, self, 3).Homes("rack"); len(homes) > 0 {
+		if homes := rosterOf(all, self).Homes("rack"); len(homes) > 0 {
 			first[homes[0].Name]++
 		}
 	}
@@ -125,7 +125,7 @@
 func TestInstancesOfASmallFleetLeaseThemselves(t *testing.T) {
 	all := fleetOf(7)
 	for self := range all {
-		if homes := rosterOf(all, self, 3).Homes("rack"); len(homes) > 0 {
+		if homes := rosterOf(all, self).Homes("rack"); len(homes) > 0 {
 			t.Errorf("%s asks %v", all[self].Name, homes)
 		}
 	}
@@ -133,7 +133,7 @@
 
 func TestSilentHomesAreLeftOut(t *testing.T) {
 	all := fleetOf(71)
-	r := rosterOf(all, 5, 3)
+	r := rosterOf(all, 5)
 	homes := r.Homes("desk")
 	if len(homes) == 0 {
 		t.Fatal("the instance is a home; choose another workspace")
@@ -145,7 +145,7 @@
 }
 
 func TestWorkspacesOfOneShardHaveTheSameHomes(t *testing.T) {
-	r := rosterOf(fleetOf(71), 5, 3)
+	r := rosterOf(fleetOf(71), 5)
 	homes := make(map[int][]nutmegview.Instance)
 	for w := range 200 {
 		n := nutmegbudget.ShardOf(nutmegid.WorkspaceBudget(workspace(w)), 5)
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -357,16 +357,11 @@
 // take brings a result into the accounts.
 func (c *committer) take(p *pendingBatch, r Result) {
 	c.keeper = r.Keeper
-	if r.Gone && p.Leave {
-		c.left = true
-	}
 	if r.Gone {
 		c.gone = true
 		c.closed.Store(true)
 		c.witnessing.cancelChange()
-		for _, a := range p.accounts {
-			a.undo()
-		}
+		c.takeGone(p)
 		return
 	}
 	c.joined = true
@@ -376,6 +371,24 @@
 		c.resetAccounts()
 		return
 	}
+	c.takeShares(p, r)
+}
+
+// takeGone ends a batch of a holder that the store does not know any more. What
+// a leaving holder had has been returned; what a forgotten one had counts as spent.
+func (c *committer) takeGone(p *pendingBatch) {
+	if p.Leave {
+		c.left = true
+		c.resetAccounts()
+		return
+	}
+	for _, a := range p.accounts {
+		a.undo()
+	}
+}
+
+// takeShares brings the written state of each budget into its account.
+func (c *committer) takeShares(p *pendingBatch, r Result) {
 	for i, e := range p.Entries {
 		a := p.accounts[i]
 		granted := a.finish(e, r.Shares[i], r)
--- a/nutmegbudget/fair_test.go
+++ b/nutmegbudget/fair_test.go
@@ -177,3 +177,42 @@
 		}
 	})
 }
+
+// TestAHolderThatLeavesGivesNothingAway asks a holder for tokens while the
+// commit that returns its leases is under way.
+func TestAHolderThatLeavesGivesNothingAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(profile{terms: Terms{Policy: fair, Share: true}})
+		id := nutmegid.WorkspaceBudget("rack")
+		err := w.operate(func(s *Shard) error {
+			s.SetAmounts(1, map[nutmegid.BudgetID]nutmegid.Tokens{id: 1_000_000})
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		leaving, cut := w.nodes[0], w.nodes[1]
+		r, err := leaving.holder.Acquire(t.Context(), id, "", 5000)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Settle(0)
+		w.links[0].set(func(f *linkFaults) { f.slow = 10 * time.Millisecond })
+		stopped := make(chan error)
+		go func() { stopped <- leaving.holder.Stop(t.Context()) }()
+		time.Sleep(5 * time.Millisecond)
+		given := leaving.holder.Give(t.Context(), Ask{
+			Transfer: "t1", Budget: id, Receiver: cut.inc, Giver: leaving.inc, Need: 5000, Want: 5000, Fetch: true,
+		})
+		if err := <-stopped; err != nil {
+			t.Fatal(err)
+		}
+		s, err := w.store.shard()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if left := s.Budgets[id].Remaining(); left+given > 1_000_000 {
+			t.Errorf("%d tokens were given away though the store has %d of 1,000,000 back", given, left)
+		}
+	})
+}
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -61,6 +61,9 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.committer.closed.Load() {
+		return 0 // the leases may have been returned meanwhile
+	}
 	if m, ok := a.transfers[ask.Transfer]; ok {
 		return m.Tokens
 	}
