Tell refused callers when tokens may be back; refill leases at seven tenths

Cause: in a cut of the store every refused caller was told to return after 0.4 s, found nothing and was refused again; leases were refilled at half, so that a cut began with three quarters of the horizon on average. Changes: an outage is taken to last about as long again as it has lasted; tokens that only dead holders have are not promised soon; callers are spread over half of the time. The refusing home tells its peer the time.

--- a/internal/budget/nutmegmeter/home.go
+++ b/internal/budget/nutmegmeter/home.go
@@ -66,7 +66,7 @@
 		}
 		return r, nil
 	}
-	return nil, unreachable("no instance that leases the workspace's tokens has answered")
+	return nil, unreachable("no instance that leases the workspace's tokens has answered", retryAfter)
 }
 
 func (m *Meter) askHome(ctx context.Context, home nutmegview.Instance, ask nutmegpeer.ReserveAsk) (nutmegpeer.ReserveAnswer, error) {
@@ -84,7 +84,7 @@
 	case nutmegpeer.ReserveExhausted:
 		return &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: detail}
 	}
-	return unreachable(detail)
+	return unreachable(detail, answer.RetryAfter)
 }
 
 // ReserveFor holds tokens for a request of a peer.
@@ -96,7 +96,7 @@
 		if refusal.Reason == nutmegcall.ReasonBudget {
 			outcome = nutmegpeer.ReserveExhausted
 		}
-		return nutmegpeer.ReserveAnswer{Outcome: outcome, Detail: refusal.Detail}
+		return nutmegpeer.ReserveAnswer{Outcome: outcome, RetryAfter: refusal.RetryAfter, Detail: refusal.Detail}
 	}
 	if ctx.Err() != nil {
 		r.Settle(0)
--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync/atomic"
 	"time"
 
@@ -32,27 +33,30 @@
 	commitTimeout  = 1500 * time.Millisecond
 	askTimeout     = 50 * time.Millisecond // for one peer's tokens
 	maxBackoff     = 700 * time.Millisecond
-	mostUrgent     = 0               // priority of routes whose requests go first
-	urgentSpan     = 8 * time.Second // of urgent requests that tokens are kept for
-	retryAfter     = 400 * time.Millisecond
+	mostUrgent     = 0                      // priority of routes whose requests go first
+	urgentSpan     = 8 * time.Second        // of urgent requests that tokens are kept for
+	retryAfter     = 400 * time.Millisecond // while others may soon return tokens
+	maxRetryAfter  = 5 * time.Second        // callers that wait longer try elsewhere first
 )
 
 // Config configures a meter. Horizon, Leased, Even and Spread are those of
 // nutmegbudget.FairShare; their defaults stand with the settings.
 type Config struct {
-	Writer      *nutmegstore.Writer
-	StoreUp     func() bool
-	View        *nutmegview.View
-	Incarnation nutmegid.Incarnation
-	Instance    nutmegid.Instance
-	Horizon     time.Duration // of spend that a lease covers
-	Leased      float64
-	Even        float64
-	Spread      nutmegid.Tokens
-	Peers       nutmegbudget.Peers                                  // that tokens are asked of; nil for none
-	Homes       Homes                                               // that hold tokens for this instance; nil for none
-	OnCommit    func(c nutmegbudget.Committed)                      // nil for none
-	OnTransfer  func(id nutmegid.BudgetID, t nutmegbudget.Transfer) // nil for none
+	Writer  *nutmegstore.Writer
+	StoreUp func() bool
+	// StoreSilence is how long ago the store gave the latest good answer.
+	StoreSilence func() time.Duration
+	View         *nutmegview.View
+	Incarnation  nutmegid.Incarnation
+	Instance     nutmegid.Instance
+	Horizon      time.Duration // of spend that a lease covers
+	Leased       float64
+	Even         float64
+	Spread       nutmegid.Tokens
+	Peers        nutmegbudget.Peers                                  // that tokens are asked of; nil for none
+	Homes        Homes                                               // that hold tokens for this instance; nil for none
+	OnCommit     func(c nutmegbudget.Committed)                      // nil for none
+	OnTransfer   func(id nutmegid.BudgetID, t nutmegbudget.Transfer) // nil for none
 	// OnHomeLost is told of homes that gave a request no answer, OnExpired of
 	// reservations that peers have not settled, OnUnsettled of settlements that
 	// a home has not taken in time; nil for none.
@@ -74,6 +78,12 @@
 
 // New returns a meter without leases.
 func New(cfg Config) *Meter {
+	if cfg.StoreUp == nil {
+		cfg.StoreUp = func() bool { return true }
+	}
+	if cfg.StoreSilence == nil {
+		cfg.StoreSilence = func() time.Duration { return 0 }
+	}
 	if cfg.OnHomeLost == nil {
 		cfg.OnHomeLost = func(nutmegview.Instance, *nutmegcall.Call, error) {}
 	}
@@ -196,7 +206,7 @@
 	}
 	holder := m.holder.Load()
 	if holder == nil {
-		return nutmegbudget.Reservation{}, unreachable("this instance has not joined the fleet yet")
+		return nutmegbudget.Reservation{}, unreachable("this instance has not joined the fleet yet", retryAfter)
 	}
 	var floor nutmegid.Tokens
 	if !w.urgent && holder.Short(id) {
@@ -209,7 +219,22 @@
 	case nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && holder.Unspent(id) < w.tokens:
 		return nutmegbudget.Reservation{}, &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: err.Error()}
 	}
-	return nutmegbudget.Reservation{}, unreachable(err.Error())
+	return nutmegbudget.Reservation{}, unreachable(err.Error(), m.returnAfter(holder, id, w.tokens))
+}
+
+// returnAfter is when a request may find the tokens that it was refused. An
+// outage of the store is taken to last about as long again as it has lasted.
+// Tokens that only dead holders have do not come back by themselves. Callers are
+// spread over half of the time, so that they do not return together.
+func (m *Meter) returnAfter(holder *nutmegbudget.Holder, id nutmegid.BudgetID, tokens nutmegid.Tokens) time.Duration {
+	after := retryAfter
+	switch {
+	case !m.cfg.StoreUp():
+		after = min(max(m.cfg.StoreSilence(), retryAfter), maxRetryAfter)
+	case holder.Live(id) < tokens:
+		after = maxRetryAfter
+	}
+	return after + rand.N(after/2)
 }
 
 // Give answers a peer's request for tokens.
@@ -220,6 +245,6 @@
 	return 0
 }
 
-func unreachable(detail string) *nutmegcall.Refusal {
-	return &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudgetUnknown, RetryAfter: retryAfter, Detail: detail}
+func unreachable(detail string, after time.Duration) *nutmegcall.Refusal {
+	return &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudgetUnknown, RetryAfter: after, Detail: detail}
 }
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -153,7 +153,7 @@
 		},
 	})
 	e.meter = nutmegmeter.New(nutmegmeter.Config{
-		Writer: e.writer, StoreUp: e.client.Up, View: e.view, Incarnation: e.incarnation, Instance: s.Instance.Name,
+		Writer: e.writer, StoreUp: e.client.Up, StoreSilence: e.client.Silence, View: e.view, Incarnation: e.incarnation, Instance: s.Instance.Name,
 		Horizon: time.Duration(s.Budget.Horizon), Leased: s.Budget.Leased, Even: s.Budget.Even, Spread: s.Budget.SpreadTokens, OnCommit: e.committed,
 		Peers: e.roster, OnTransfer: e.received,
 		Homes: e.roster, OnHomeLost: e.homeLost, OnExpired: e.expired, OnUnsettled: e.unsettled,
--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -222,7 +222,7 @@
 		return true
 	}
 	target := a.terms.Policy.Target(a.view(0))
-	return a.remaining > 0 && held < target/refillBelow
+	return a.remaining > 0 && float64(held) < refillBelow*float64(target)
 }
 
 // view is what the holder knows of the budget, for its policy.
--- a/nutmegbudget/defaults.go
+++ b/nutmegbudget/defaults.go
@@ -32,7 +32,7 @@
 	idleRate           = 0.01        // tokens a second; below it an instance may be idle
 	idleTicks          = 10          // commit intervals without use that make an instance idle
 	leastSpread        = 0.33        // of the spread, that a fair lease holds however small the rate
-	refillBelow        = 2           // part of its target below which a lease is refilled at once
+	refillBelow        = 0.7         // share of its target below which a lease is refilled at once
 	keepFactor         = 2           // times the target that is kept before tokens return
 	maxReleasedHolders = 64          // of a shard; older ones become final write-offs
 	maxAskedPeers      = 8           // peers that one request asks for tokens
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -414,6 +414,15 @@
 	return a.unspent
 }
 
+// Live returns the tokens of a budget that holders have which may be up, and
+// those that no holder has, as of this holder's latest commit.
+func (h *Holder) Live(id nutmegid.BudgetID) nutmegid.Tokens {
+	a := h.account(id)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.live.tokens
+}
+
 // Balance is one budget's local state.
 type Balance struct {
 	Budget   nutmegid.BudgetID `json:"budget"`
--- a/nutmegpeer/reserve.go
+++ b/nutmegpeer/reserve.go
@@ -36,8 +36,9 @@
 
 // ReserveAnswer is the outcome of a ReserveAsk and its reason for logs.
 type ReserveAnswer struct {
-	Outcome ReserveOutcome
-	Detail  string
+	Outcome    ReserveOutcome
+	RetryAfter time.Duration // with ReserveLater, until tokens may be had
+	Detail     string
 }
 
 // Settlement tells what the request of a reservation has used.
@@ -87,7 +88,11 @@
 	if reply.GetReservation() != req.GetReservation() {
 		return ReserveAnswer{}, errDamaged
 	}
-	return ReserveAnswer{Outcome: ReserveOutcome(reply.GetOutcome()), Detail: reply.GetDetail()}, nil
+	return ReserveAnswer{
+		Outcome:    ReserveOutcome(reply.GetOutcome()),
+		RetryAfter: time.Duration(reply.GetRetryAfterMicros()) * time.Microsecond,
+		Detail:     reply.GetDetail(),
+	}, nil
 }
 
 // Settle tells one peer what requests have used. It may be repeated.
@@ -124,6 +129,7 @@
 	})
 	reply := &peerpb.ReserveReply{
 		Fleet: s.peers.cfg.Fleet, Reservation: r.GetReservation(), Outcome: string(answer.Outcome), Detail: answer.Detail,
+		RetryAfterMicros: answer.RetryAfter.Microseconds(),
 	}
 	var err error
 	reply.Mac, err = sign(s.peers.cfg.Key, reply)
--- a/nutmegstore/client.go
+++ b/nutmegstore/client.go
@@ -122,6 +122,13 @@
 	return !c.down && (c.cfg.SilentAfter == 0 || time.Since(c.answered) < c.cfg.SilentAfter)
 }
 
+// Silence returns how long ago the platform gave the latest good answer.
+func (c *Client) Silence() time.Duration {
+	c.state.Lock()
+	defer c.state.Unlock()
+	return time.Since(c.answered)
+}
+
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
 	a, err := c.read(ctx, callRead, key, c.cfg.Dialect.Get(key), MaxValueBytes+maxEnvelopeBytes)
