Let strong instances be homes, calls to one peer overlap; remove keepers

Cause: on the grown deployments most instances have a tenth of a link of 200 Mbit/s and a fifth of a core. Where such a one was a home, its commits came too late; calls to one peer ran one after another, so that a busy instance (ten times the mean) timed out at its homes, closed the connections and leased from the store itself. Changes: within a failure domain, instances with at least half of the best one's processor and link go first; the next in order takes the place of a home that does not answer; up to eight calls to one peer run at once; a fruitless search among peers is not repeated for 0.25 s (69,039 asks in 14 s were counted). Keepers are gone, in nutmegbudget, nutmegpeer, nutmegnode and the settings: homes do what they were for, fewer writers to one object.

--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -28,7 +28,7 @@
 	rateWeight     = 0.15            // of the newest commit interval
 	settleAfter    = 4 * time.Second // of spend while the lease is large enough
 	commitInterval = 1000 * time.Millisecond
-	dryTime        = 100 * time.Millisecond
+	dryTime        = 250 * time.Millisecond
 	acquireTimeout = 110 * time.Millisecond // a refusal later than that keeps a caller from trying elsewhere
 	commitTimeout  = 1500 * time.Millisecond
 	askTimeout     = 50 * time.Millisecond // for one peer's tokens
--- a/internal/fleet/nutmegroster/budgets.go
+++ b/internal/fleet/nutmegroster/budgets.go
@@ -30,7 +30,7 @@
 // Holders implements nutmegbudget.Peers.
 func (r *Roster) Holders(id nutmegid.BudgetID) []nutmegid.Incarnation {
 	var holders []nutmegid.Incarnation
-	for _, i := range r.answering(r.homesOfBudget(id)) {
+	for _, i := range r.homesOfBudget(id) {
 		if i.Name != r.cfg.Self.Name {
 			holders = append(holders, i.Incarnation)
 		}
@@ -65,8 +65,3 @@
 func (r *Roster) Acknowledge(context.Context, nutmegid.Incarnation, nutmegbudget.Slices) (bool, error) {
 	return false, errNotSupported
 }
-
-// Commit implements nutmegbudget.Peers.
-func (r *Roster) Commit(context.Context, nutmegid.Incarnation, int, nutmegbudget.Batch) (nutmegbudget.Result, error) {
-	return nutmegbudget.Result{}, errNotSupported
-}
--- a/internal/fleet/nutmegroster/homes.go
+++ b/internal/fleet/nutmegroster/homes.go
@@ -13,10 +13,13 @@
 	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 )
 
+// strongShare is the share of the best instance's resources that makes another
+// one strong.
+const strongShare = 0.5
+
 // Homes returns the instances that hold tokens of a workspace for this one, the
 // best first and without those that have not answered lately. There are none
-// where this instance leases tokens of the workspace itself, as all do in a
-// small fleet.
+// where this instance leases tokens of the workspace itself.
 //
 // All workspaces whose budgets share an object have the same homes, so that few
 // instances write to each object.
@@ -25,22 +28,24 @@
 	if slices.ContainsFunc(homes, func(i nutmegview.Instance) bool { return i.Name == r.cfg.Self.Name }) {
 		return nil
 	}
-	return r.answering(nearestFirst(homes, r.cfg.Self, string(w)))
+	return nearestFirst(homes, r.cfg.Self, string(w))
 }
 
 // homesOfBudget returns the homes of a budget, this instance included where it
-// is one; none before the fleet is known.
+// is one; none before the fleet is known. Where one does not answer, the next
+// in order takes its place.
 func (r *Roster) homesOfBudget(id nutmegid.BudgetID) []nutmegview.Instance {
 	shards := int(r.shards.Load())
 	if shards == 0 {
 		return nil
 	}
 	shard := nutmegbudget.ShardName(nutmegbudget.ShardOf(id, shards))
-	return homesOf(shard, append(slices.Clone(r.others()), r.cfg.Self), r.cfg.HomesPerDomain)
+	return homesOf(shard, append(r.answering(r.others()), r.cfg.Self), r.cfg.HomesPerDomain)
 }
 
 // homesOf chooses the homes of a shard in each failure domain by rendezvous
-// hashing, so that an instance more or less moves few shards.
+// hashing, so that an instance more or less moves few shards. Strong instances
+// go before weak ones.
 func homesOf(shard string, all []nutmegview.Instance, perDomain int) []nutmegview.Instance {
 	byDomain := make(map[nutmegid.FailureDomain][]nutmegview.Instance)
 	for _, i := range all {
@@ -49,11 +54,29 @@
 	var homes []nutmegview.Instance
 	for _, list := range byDomain {
 		sortByWeight(list, shard)
+		strongFirst(list)
 		homes = append(homes, list[:min(perDomain, len(list))]...)
 	}
 	return homes
 }
 
+// strongFirst puts instances first that have at least strongShare of the best
+// one's processor and link.
+func strongFirst(list []nutmegview.Instance) {
+	var cores, link float64
+	for _, i := range list {
+		cores = max(cores, i.Cores)
+		link = max(link, i.LinkMbps)
+	}
+	rank := func(i nutmegview.Instance) int {
+		if i.Cores >= strongShare*cores && i.LinkMbps >= strongShare*link {
+			return 0
+		}
+		return 1
+	}
+	slices.SortStableFunc(list, func(a, b nutmegview.Instance) int { return cmp.Compare(rank(a), rank(b)) })
+}
+
 // nearestFirst orders homes for one instance: its own failure domain first, and
 // within a domain so that the instances share their homes evenly.
 func nearestFirst(homes []nutmegview.Instance, self nutmegview.Instance, key string) []nutmegview.Instance {
--- a/internal/fleet/nutmegview/upstream.go
+++ b/internal/fleet/nutmegview/upstream.go
@@ -26,4 +26,6 @@
 	Incarnation   nutmegid.Incarnation   `json:"incarnation"`
 	FailureDomain nutmegid.FailureDomain `json:"failure_domain"`
 	PeerAddress   string                 `json:"peer_address"`
+	Cores         float64                `json:"cores,omitempty"`     // of the processor that the instance may use
+	LinkMbps      float64                `json:"link_mbps,omitempty"` // of its network link
 }
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -150,6 +150,7 @@
 		Budgets: budgetServer{e}, Reservations: reservationServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, Library: library{e}, Shards: e.budgetShards, OnFleet: func(shards int) { e.meter.Open(shards) },
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
+			Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps,
 		},
 	})
 	e.meter = nutmegmeter.New(nutmegmeter.Config{
--- a/internal/instance/nutmegentry/errors.go
+++ b/internal/instance/nutmegentry/errors.go
@@ -24,6 +24,5 @@
 
 var (
 	errStopped    = errors.New("the instance has stopped")
-	errNoShards   = errors.New("this instance writes no budgets for others; write to the store")
 	errNoSegments = errors.New("the configuration is one piece here; fetch the revision")
 )
--- a/internal/instance/nutmegentry/journal.go
+++ b/internal/instance/nutmegentry/journal.go
@@ -138,7 +138,7 @@
 	entry := e.event("request_ended").WithFields(logrus.Fields{
 		"request": c.ID, "route": c.Route.Name, "revision": c.Revision, "workspace": c.Workspace, "service": c.Service,
 		"upstream": o.Upstream, "upstreams_version": e.view.Upstreams().Version, "outcome": o.Reason, "run": o.Ran.String(),
-		"status": o.Status, "sends": o.Sends, "events": o.Events, "bound": c.Prompt.Bound(), "used": o.Used, "took_ms": took.Milliseconds(),
+		"status": o.Status, "sends": o.Sends, "events": o.Events, "bound": c.Prompt.Bound(), "body_bytes": len(c.Body), "used": o.Used, "took_ms": took.Milliseconds(),
 	})
 	if o.Detail != "" {
 		entry = entry.WithField("detail", o.Detail)
--- a/internal/instance/nutmegentry/peers.go
+++ b/internal/instance/nutmegentry/peers.go
@@ -34,11 +34,6 @@
 	return false
 }
 
-// Commit implements nutmegpeer.Budgets. Instances write to the store themselves.
-func (budgetServer) Commit(context.Context, int, []byte) ([]byte, error) {
-	return nil, errNoShards
-}
-
 // reservationServer holds tokens for requests of peers.
 type reservationServer struct {
 	entry *Entry
--- a/nutmegbudget/batch.go
+++ b/nutmegbudget/batch.go
@@ -23,9 +23,7 @@
 	// Rewitness replaces the witnesses by Witnesses.
 	Rewitness bool                   `json:"rewitness,omitempty"`
 	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
-	// Keeper makes the holder the shard's keeper.
-	Keeper  bool    `json:"keeper,omitempty"`
-	Entries []Entry `json:"entries"`
+	Entries   []Entry                `json:"entries"`
 }
 
 // Entry is one budget's part of a batch.
@@ -49,7 +47,6 @@
 	Released  bool                   `json:"released,omitempty"`
 	Epoch     uint64                 `json:"epoch,omitempty"`
 	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
-	Keeper    nutmegid.Incarnation   `json:"keeper,omitempty"`
 	Shares    []Share                `json:"shares"`
 }
 
@@ -93,9 +90,6 @@
 		}
 	}
 	record.Commit = batch.Number
-	if batch.Keeper {
-		s.Keeper = batch.Incarnation
-	}
 	s.finish(batch, record)
 	return nil
 }
@@ -206,9 +200,6 @@
 	}
 	s.dropHoldings(inc)
 	delete(s.Holders, inc)
-	if s.Keeper == inc {
-		s.Keeper = ""
-	}
 }
 
 // holds reports whether any lease of the holder has tokens.
@@ -241,9 +232,9 @@
 func (s *Shard) result(batch Batch) Result {
 	record := s.Holders[batch.Incarnation]
 	if record == nil {
-		return Result{Gone: true, Keeper: s.Keeper, Shares: make([]Share, len(batch.Entries))}
+		return Result{Gone: true, Shares: make([]Share, len(batch.Entries))}
 	}
-	r := Result{Released: record.Released != 0, Epoch: record.Epoch, Witnesses: record.Witnesses, Keeper: s.Keeper}
+	r := Result{Released: record.Released != 0, Epoch: record.Epoch, Witnesses: record.Witnesses}
 	for _, e := range batch.Entries {
 		r.Shares = append(r.Shares, s.share(batch.Incarnation, e.Budget))
 	}
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
@@ -32,12 +31,9 @@
 	mayReturn bool
 	gone      bool // the store has forgotten the holder
 	pending   *pendingBatch
-	keeper    nutmegid.Incarnation
-	// unreachable is the keeper that did not answer; it is not asked again.
-	unreachable nutmegid.Incarnation
-	lastErr     error
-	failures    int
-	retryAt     time.Time
+	lastErr   error
+	failures  int
+	retryAt   time.Time
 
 	witnessing witnessing
 	stranded   atomic.Pointer[[]Stranded]
@@ -123,7 +119,7 @@
 // due reports whether the shard is worth a commit now.
 func (c *committer) due() bool {
 	cfg := c.holder.cfg
-	if cfg.SettleAfter == 0 || c.pending != nil || cfg.Keeper != nil || c.closed.Load() {
+	if cfg.SettleAfter == 0 || c.pending != nil || c.closed.Load() {
 		return true
 	}
 	for _, a := range c.holder.accountsOf(c.shard) {
@@ -245,9 +241,8 @@
 		Incarnation: cfg.Incarnation, Instance: cfg.Instance, Number: c.number + 1, Joined: c.joined, Leave: leave && c.joined,
 	}}
 	c.rewitness(&p.Batch)
-	p.Keeper = c.claimsKeeper()
 	returnAll := p.Leave || c.closed.Load()
-	write := p.Leave || p.Rewitness || p.Keeper
+	write := p.Leave || p.Rewitness
 	drained := c.closed.Load()
 	for _, a := range c.holder.accountsOf(c.shard) {
 		a.mu.Lock()
@@ -301,26 +296,8 @@
 	return nil
 }
 
-// send gives the batch to the shard's keeper, or writes it where there is no
-// keeper or none that answers. The batch's number makes both safe together; a
-// joining batch is written directly, as only a conditional write can be late
-// without harm after the holder has left.
+// send writes the batch to the store. Its number makes it apply once.
 func (c *committer) send(ctx context.Context, p *pendingBatch) (Result, error) {
-	commit := c.route()
-	if commit == nil || p.Keeper || !p.Joined {
-		return c.direct(ctx, p)
-	}
-	p.uncertain = true
-	result, err := commit(ctx, c.shard, p.Batch)
-	if err == nil {
-		return result, nil
-	}
-	c.unreachable = c.keeper
-	return c.direct(ctx, p)
-}
-
-// direct writes the batch to the store.
-func (c *committer) direct(ctx context.Context, p *pendingBatch) (Result, error) {
 	doc, err := nutmegstore.Update(ctx, c.holder.cfg.Writer, c.key(), func(s *Shard) error {
 		c.holder.cfg.Prepare(s, c.shard)
 		return s.Apply(p.Batch, c.holder.policyOf)
@@ -356,7 +333,6 @@
 
 // take brings a result into the accounts.
 func (c *committer) take(p *pendingBatch, r Result) {
-	c.keeper = r.Keeper
 	if r.Gone {
 		c.gone = true
 		c.closed.Store(true)
--- a/nutmegbudget/defaults.go
+++ b/nutmegbudget/defaults.go
@@ -25,8 +25,6 @@
 
 	// DefaultSilence is how long a witness waits for a holder that is not up.
 	DefaultSilence = 10 * time.Second
-	// DefaultGatherTime is how long a keeper gathers batches for one commit.
-	DefaultGatherTime = 200 * time.Millisecond
 
 	maxTokens          = 1 << 53     // tokens; amounts stay exact in JSON numbers
 	idleRate           = 0.01        // tokens a second; below it an instance may be idle
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -49,7 +49,6 @@
 	Terms          func(id nutmegid.BudgetID) Terms // the owner's terms for a budget; Policy alone when nil
 	Peers          Peers                            // none when nil: nothing is shared or witnessed
 	Witnesses      int                              // witnesses that a shard's leases should have
-	Keeper         *Keeper                          // commits for others; none when nil
 	CommitInterval time.Duration                    // DefaultCommitInterval when zero
 	CommitTimeout  time.Duration                    // DefaultCommitTimeout when zero
 	// SettleAfter is how long spend may stay unsettled while the leases are
--- a/nutmegbudget/operate.go
+++ b/nutmegbudget/operate.go
@@ -154,9 +154,6 @@
 			return nil, err
 		}
 	}
-	if s.Keeper == inc {
-		s.Keeper = ""
-	}
 	s.prune()
 	return released, nil
 }
--- a/nutmegbudget/shard.go
+++ b/nutmegbudget/shard.go
@@ -18,8 +18,6 @@
 	// Amounts is the revision of the configuration that the prepaid amounts
 	// come from, 0 where they come from top-ups.
 	Amounts nutmegid.Revision `json:"amounts,omitempty"`
-	// Keeper commits for others; it is a hint, never an authority.
-	Keeper nutmegid.Incarnation `json:"keeper,omitempty"`
 }
 
 // Record is what a shard knows of one holder.
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -35,8 +35,6 @@
 	Ask(ctx context.Context, to nutmegid.Incarnation, ask Ask) (nutmegid.Tokens, error)
 	// Acknowledge asks one witness to acknowledge slices; false means closed.
 	Acknowledge(ctx context.Context, to nutmegid.Incarnation, slices Slices) (bool, error)
-	// Commit hands a batch to a shard's keeper.
-	Commit(ctx context.Context, to nutmegid.Incarnation, shard int, batch Batch) (Result, error)
 }
 
 // Give answers a peer's request for tokens: it debits first and returns the
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -72,6 +72,10 @@
 	minMemoryMB      = 32
 	maxMemoryMB      = 1 << 20
 	minDescriptors   = 256
+	minCores         = 0.01
+	maxCores         = 1024
+	minLinkMbps      = 0.1
+	maxLinkMbps      = 1e6
 	maxHomes         = 1000 // instances of a failure domain that lease one budget
 	maxDescriptors   = 1 << 20
 )
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -52,6 +52,8 @@
 	MemoryMB        int      `toml:"memory_mb"`
 	FileDescriptors int      `toml:"file_descriptors"`
 	StopTimeout     Duration `toml:"stop_timeout"`
+	Cores           float64  `toml:"cores"`     // of the processor that the instance may use
+	LinkMbps        float64  `toml:"link_mbps"` // of the network link, in megabits a second
 }
 
 // EntryBudgetSettings size the leases of prepaid tokens.
@@ -80,6 +82,10 @@
 	DefaultEntryHomesPerDomain = 1
 	// DefaultStopTimeout is how long a stopping instance waits for running requests.
 	DefaultStopTimeout = 8 * time.Second
+	// DefaultCores is the share of processors that an instance may use where nothing is said.
+	DefaultCores = 1
+	// DefaultLinkMbps is the bandwidth of an instance's link where nothing is said.
+	DefaultLinkMbps = 1000
 	// DefaultMemoryMB is the memory that an instance may use where nothing is said.
 	DefaultMemoryMB = 128
 	// DefaultFileDescriptors is how many descriptors an instance may use where nothing is said.
@@ -91,6 +97,7 @@
 	return EntrySettings{
 		Limits: EntryLimitSettings{
 			MemoryMB: DefaultMemoryMB, FileDescriptors: DefaultFileDescriptors, StopTimeout: Duration(DefaultStopTimeout),
+			Cores: DefaultCores, LinkMbps: DefaultLinkMbps,
 		},
 		Budget: EntryBudgetSettings{
 			Horizon: Duration(DefaultEntryHorizon), Leased: DefaultEntryLeased, Even: DefaultEntryEven,
@@ -135,6 +142,8 @@
 	c.between("limits.memory_mb", float64(s.Limits.MemoryMB), minMemoryMB, maxMemoryMB)
 	c.between("limits.file_descriptors", float64(s.Limits.FileDescriptors), minDescriptors, maxDescriptors)
 	c.positive("limits.stop_timeout", s.Limits.StopTimeout)
+	c.between("limits.cores", s.Limits.Cores, minCores, maxCores)
+	c.between("limits.link_mbps", s.Limits.LinkMbps, minLinkMbps, maxLinkMbps)
 	c.positive("budget.horizon", s.Budget.Horizon)
 	c.between("budget.leased", s.Budget.Leased, 0, 1)
 	c.between("budget.even", s.Budget.Even, 0, 1)
--- a/nutmegconf/settings.go
+++ b/nutmegconf/settings.go
@@ -113,8 +113,6 @@
 	Slice Duration `toml:"slice"`
 	// Witnesses is how many instances in other failure domains witness a lease.
 	Witnesses int `toml:"witnesses"`
-	// Keepers lets one instance for each shard commit for the others.
-	Keepers bool `toml:"keepers"`
 	// Owners hold what owners set otherwise for their own and their workspaces' budgets.
 	Owners map[nutmegid.Owner]OwnerBudgetSettings `toml:"owners"`
 }
--- a/nutmegnode/budget.go
+++ b/nutmegnode/budget.go
@@ -15,9 +15,6 @@
 
 func (n *Node) buildBudget() {
 	b := n.cfg.Settings.Budget
-	if b.Keepers {
-		n.keeper = nutmegbudget.NewKeeper(nutmegbudget.KeeperConfig{Writer: n.writer, Terms: n.terms, Shards: b.Shards})
-	}
 	peers := budgetPeers{n}
 	n.holder = nutmegbudget.NewHolder(nutmegbudget.HolderConfig{
 		Writer:         n.writer,
@@ -27,7 +24,6 @@
 		Terms:          n.terms,
 		Peers:          peers,
 		Witnesses:      b.Witnesses,
-		Keeper:         n.keeper,
 		CommitInterval: time.Duration(b.CommitInterval),
 		OnCommit:       n.committed,
 		OnTransfer: func(id nutmegid.BudgetID, t nutmegbudget.Transfer) {
--- a/nutmegnode/node.go
+++ b/nutmegnode/node.go
@@ -66,7 +66,6 @@
 	orderEngine orderFunc // nil while engines take no orders
 	holder      *nutmegbudget.Holder
 	witness     *nutmegbudget.Witness
-	keeper      *nutmegbudget.Keeper // nil without keepers
 	ledger      *nutmegledger.Writer
 	copies      *lineCopies
 	desk        *nutmegorder.Desk
--- a/nutmegpeer/conn.go
+++ b/nutmegpeer/conn.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -30,13 +32,9 @@
 
 // call runs fn, dialing first where there is no connection. A call that fails
 // or gets no answer until ctx ends closes the connection, so that the next one
-// dials anew: a connection that went silent lasts no longer than one call.
+// dials anew: a connection that went silent lasts no longer than one call. The
+// caller holds the turn, which the call gives back.
 func (c *conn) call(ctx context.Context, fn func(context.Context, peerpb.DRPCPeerClient) error) error {
-	select {
-	case c.turn <- struct{}{}:
-	case <-ctx.Done():
-		return ctx.Err()
-	}
 	defer func() { <-c.turn }()
 	c.touch()
 	if err := c.dial(ctx); err != nil {
@@ -49,6 +47,16 @@
 	return err
 }
 
+// takeTurn takes the turn if nobody has it.
+func (c *conn) takeTurn() bool {
+	select {
+	case c.turn <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
 func (c *conn) dial(ctx context.Context) error {
 	if c.drpc != nil && !isClosed(c.drpc) {
 		return nil
@@ -98,40 +106,67 @@
 	c.drop()
 }
 
-// connPool holds one connection for each peer that was called lately.
+// connPool holds the connections to peers that were called lately: several to
+// one peer where calls overlap.
 type connPool struct {
 	dialer DialFunc
 
 	mu    sync.Mutex
-	conns map[string]*conn
+	conns map[string][]*conn
 }
 
 func newConnPool(dialer DialFunc) *connPool {
-	return &connPool{dialer: dialer, conns: make(map[string]*conn)}
+	return &connPool{dialer: dialer, conns: make(map[string][]*conn)}
+}
+
+// call runs fn on a connection to a peer that no other call uses. With the most
+// connections in use it waits for one.
+func (p *connPool) call(ctx context.Context, address string, fn func(context.Context, peerpb.DRPCPeerClient) error) error {
+	c, mine := p.take(address)
+	if !mine {
+		select {
+		case c.turn <- struct{}{}:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return c.call(ctx, fn)
 }
 
-func (p *connPool) get(address string) *conn {
+// take returns a connection and whether the caller has its turn already.
+func (p *connPool) take(address string) (*conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c, ok := p.conns[address]
-	if !ok {
-		c = newConn(address, p.dialer)
-		c.touch()
-		p.conns[address] = c
+	conns := p.conns[address]
+	for _, c := range conns {
+		if c.takeTurn() {
+			return c, true
+		}
+	}
+	if len(conns) >= maxPeerConns {
+		return conns[rand.IntN(len(conns))], false
 	}
-	return c
+	c := newConn(address, p.dialer)
+	c.takeTurn()
+	p.conns[address] = append(conns, c)
+	return c, true
 }
 
 // closeIdle closes connections that were not used since a time.
 func (p *connPool) closeIdle(since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for address, c := range p.conns {
-		if c.idleSince().After(since) {
-			continue
+	for address, conns := range p.conns {
+		kept := slices.DeleteFunc(conns, func(c *conn) bool {
+			if c.idleSince().After(since) {
+				return false
+			}
+			c.close()
+			return true
+		})
+		if p.conns[address] = kept; len(kept) == 0 {
+			delete(p.conns, address)
 		}
-		delete(p.conns, address)
-		c.close()
 	}
 }
 
--- a/nutmegpeer/defaults.go
+++ b/nutmegpeer/defaults.go
@@ -22,6 +22,7 @@
 	maxDigestItems     = 8       // pieces of gossip in one digest
 	maxDigestItemBytes = 4 << 10 // keys and values of gossip in one digest
 	maxMemberBytes     = 512     // names and address of one member
+	maxPeerConns       = 8       // to one peer
 	maxMessageBytes    = 4 << 20 // of any message between peers
 	maxItemLife        = time.Hour
 	newsFactor         = 3 // digests that carry a piece of news, times the bits of the number of members
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -377,7 +377,7 @@
 func (p *Peers) callContext(ctx context.Context, address string, fn func(context.Context, peerpb.DRPCPeerClient) error) error {
 	ctx, cancel := context.WithTimeout(ctx, p.cfg.CallTimeout)
 	defer cancel()
-	return p.conns.get(address).call(ctx, fn)
+	return p.conns.call(ctx, address, fn)
 }
 
 func (p *Peers) count(name string) {
--- a/nutmegpeer/peers_test.go
+++ b/nutmegpeer/peers_test.go
@@ -322,3 +322,45 @@
 		t.Errorf("%d digests told of 2000 members; want at most %d", digests, limit)
 	}
 }
+
+// slowReservations holds tokens after a while, as an instance does that waits
+// for the store.
+type slowReservations struct {
+	answer chan struct{}
+	asked  chan struct{}
+}
+
+func (s slowReservations) Reserve(context.Context, ReserveAsk) ReserveAnswer {
+	s.asked <- struct{}{}
+	<-s.answer
+	return ReserveAnswer{Outcome: ReserveHeld}
+}
+
+func (slowReservations) Settle([]Settlement) {}
+
+// TestCallsOfOnePeerOverlap asks one instance for several reservations at once:
+// none waits for the answer to another.
+func TestCallsOfOnePeerOverlap(t *testing.T) {
+	const calls = 5
+	slow := slowReservations{answer: make(chan struct{}), asked: make(chan struct{})}
+	s := newSwarm(t, 2, func(_ int, cfg *Config) { cfg.Reservations = slow })
+	answers := make(chan error, calls)
+	for range calls {
+		go func() {
+			answer, err := s.peers[0].Reserve(t.Context(), s.peers[1].address, ReserveAsk{Reservation: nutmegid.NewReservationID(), Workspace: "rack", Tokens: 100})
+			if err == nil && answer.Outcome != ReserveHeld {
+				err = errors.New("not held: " + string(answer.Outcome))
+			}
+			answers <- err
+		}()
+	}
+	for range calls {
+		<-slow.asked // all are under way before the first is answered
+	}
+	close(slow.answer)
+	for range calls {
+		if err := <-answers; err != nil {
+			t.Error(err)
+		}
+	}
+}
--- a/nutmegpeer/transfer.go
+++ b/nutmegpeer/transfer.go
@@ -25,8 +25,6 @@
 	Give(ctx context.Context, ask TransferAsk) nutmegid.Tokens
 	// Acknowledge witnesses slices of a peer's leases; false means closed.
 	Acknowledge(s SliceAsk) bool
-	// Commit writes a peer's encoded batch and returns its encoded result.
-	Commit(ctx context.Context, shard int, batch []byte) ([]byte, error)
 }
 
 // errNoBudgets answers calls on budgets where the instance serves none.
