--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -36,6 +36,7 @@
 	mostUrgent     = 0                      // priority of routes whose requests go first
 	urgentSpan     = 8 * time.Second        // of urgent requests that tokens are kept for
 	retryAfter     = 400 * time.Millisecond // while others may soon return tokens
+	leastOutage    = 2 * time.Second        // that is expected of a store which has not answered
 	maxRetryAfter  = 5 * time.Second        // callers that wait longer try elsewhere first
 )
 
@@ -229,8 +230,8 @@
 func (m *Meter) returnAfter(holder *nutmegbudget.Holder, id nutmegid.BudgetID, tokens nutmegid.Tokens) time.Duration {
 	after := retryAfter
 	switch {
-	case !m.cfg.StoreUp():
-		after = min(max(m.cfg.StoreSilence(), retryAfter), maxRetryAfter)
+	case holder.CutOff():
+		after = min(max(m.cfg.StoreSilence(), leastOutage), maxRetryAfter)
 	case holder.Live(id) < tokens:
 		after = maxRetryAfter
 	}
--- a/internal/fleet/nutmegfollow/upstreams.go
+++ b/internal/fleet/nutmegfollow/upstreams.go
@@ -16,8 +16,12 @@
 	// lapseGap is the shortest outage in which entries of living upstreams
 	// lapse: they are renewed more often than that.
 	lapseGap = 2500 * time.Millisecond
-	// batchPause is how long changes are gathered before they are asked for.
-	batchPause = 400 * time.Millisecond
+	// minGather and maxGather bound how long changes are gathered before they
+	// are asked for; gatherEach is the time for each upstream, as each one
+	// changes something every second or so.
+	minGather  = 400 * time.Millisecond
+	maxGather  = time.Second
+	gatherEach = 10 * time.Millisecond
 	// expiryPause is the time between two looks at entries that nobody waits for.
 	expiryPause = time.Minute
 )
@@ -79,7 +83,7 @@
 
 func (u *Upstreams) run(ctx context.Context) {
 	defer close(u.done)
-	watch := &watch{store: u.cfg.Store, kind: u.cfg.Kind, batches: u.batches, done: make(chan struct{})}
+	watch := &watch{store: u.cfg.Store, view: u.cfg.View, kind: u.cfg.Kind, batches: u.batches, done: make(chan struct{})}
 	go watch.run(ctx)
 	defer func() { <-watch.done }()
 	expiry := time.NewTimer(expiryPause)
@@ -100,6 +104,7 @@
 // watch hands the store's batches to its owner.
 type watch struct {
 	store   Store
+	view    *nutmegview.View
 	kind    string
 	batches chan<- nutmegstore.Batch
 	done    chan struct{}
@@ -115,12 +120,17 @@
 		case <-ctx.Done():
 		}
 		select {
-		case <-time.After(batchPause):
+		case <-time.After(gatherTime(len(w.view.Upstreams().ByID))):
 		case <-ctx.Done():
 		}
 	})
 }
 
+// gatherTime is how long the changes of a number of upstreams are gathered.
+func gatherTime(upstreams int) time.Duration {
+	return min(max(time.Duration(upstreams)*gatherEach, minGather), maxGather)
+}
+
 // entries are the upstreams that the store lists, with those that vanished
 // while it could not be watched.
 type entries struct {
--- a/internal/fleet/nutmegfollow/upstreams_test.go
+++ b/internal/fleet/nutmegfollow/upstreams_test.go
@@ -1,7 +1,10 @@
 package nutmegfollow
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
@@ -82,3 +85,51 @@
 		t.Errorf("upstreams (-want +got):\n%s", diff)
 	}
 }
+
+// busyStore always has changes of all its upstreams.
+type busyStore struct {
+	upstreams int
+	polls     int
+	leavingAt time.Time // when the first upstream begins to leave
+}
+
+// FollowBatches implements Store.
+func (s *busyStore) FollowBatches(ctx context.Context, _, _ string, fn func(nutmegstore.Batch)) {
+	for ctx.Err() == nil {
+		s.polls++
+		b := nutmegstore.Batch{At: nutmegid.Version(s.polls)}
+		for i := range s.upstreams {
+			value := "ready"
+			if i == 0 && !time.Now().Before(s.leavingAt) {
+				value = "leaving"
+			}
+			b.Objects = append(b.Objects, present(fmt.Sprint("u", i), value))
+		}
+		fn(b)
+	}
+}
+
+// TestChangesOfManyUpstreamsAreGathered follows fleets of upstreams that change
+// all the time: the polls do not grow with them, and a leaving one is known in
+// about a second.
+func TestChangesOfManyUpstreamsAreGathered(t *testing.T) {
+	for _, test := range []struct{ upstreams, polls int }{{20, 26}, {140, 11}, {12_000, 11}} {
+		synctest.Test(t, func(t *testing.T) {
+			ctx, cancel := context.WithCancel(t.Context())
+			store := &busyStore{upstreams: test.upstreams, leavingAt: time.Now().Add(5 * time.Second)}
+			view := nutmegview.New()
+			u := NewUpstreams(UpstreamsConfig{Store: store, Kind: "upstreams", Decode: entryOf, View: view})
+			u.Start(ctx)
+			time.Sleep(6100 * time.Millisecond)
+			if !view.Upstreams().ByID["u0"].Leaving {
+				t.Errorf("of %d upstreams, one that has left for 1.1 s still takes work", test.upstreams)
+			}
+			time.Sleep(3900 * time.Millisecond)
+			cancel()
+			u.Wait()
+			if store.polls > test.polls {
+				t.Errorf("%d polls in 10 s for %d upstreams, want %d at most", store.polls, test.upstreams, test.polls)
+			}
+		})
+	}
+}
--- a/internal/instance/nutmegentry/journal.go
+++ b/internal/instance/nutmegentry/journal.go
@@ -47,8 +47,8 @@
 func (e *Entry) logAmounts(amounts map[nutmegid.Workspace]nutmegid.Tokens) {
 	for name, tokens := range amounts {
 		if before, known := e.amounts[name]; known && before != tokens {
-			e.event("prepaid_changed").WithFields(logrus.Fields{
-				"workspace": name, "before": before, "prepaid": tokens,
+			e.event("budget_amount_changed").WithFields(logrus.Fields{
+				"workspace": name, "before": before, "after": tokens,
 			}).Info("the prepaid amount of a workspace has changed")
 		}
 	}
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -253,7 +253,7 @@
 	ctx, cancel := context.WithTimeout(ctx, h.cfg.AcquireTimeout)
 	defer cancel()
 	w, o := h.account(workspace), h.ownerAccount(owner)
-	withStore := h.cfg.StoreUp() && !h.doubtful.Load()
+	withStore := !h.CutOff()
 	for round := range acquireRounds {
 		unreachable := errors.Join(h.refill(ctx, w, n+floor, withStore), h.refill(ctx, o, n, withStore))
 		if r, ok := h.ReserveAbove(workspace, owner, n, floor); ok {
@@ -401,7 +401,13 @@
 
 // Short reports whether nothing can be had of the store for a budget now.
 func (h *Holder) Short(id nutmegid.BudgetID) bool {
-	return !h.cfg.StoreUp() || h.doubtful.Load() || h.account(id).storeEmpty()
+	return h.CutOff() || h.account(id).storeEmpty()
+}
+
+// CutOff reports whether the store does not answer, or did not in time when a
+// request last waited for it.
+func (h *Holder) CutOff() bool {
+	return !h.cfg.StoreUp() || h.doubtful.Load()
 }
 
 // Unspent returns the tokens of a budget that were not known to be spent at
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -80,7 +80,7 @@
 
 // fetchFor takes tokens from the store for a peer that may not reach it.
 func (h *Holder) fetchFor(ctx context.Context, a *account, need nutmegid.Tokens) {
-	if a.lacking(need) <= 0 || a.dry(need) || !h.cfg.StoreUp() || h.doubtful.Load() || a.storeEmpty() {
+	if a.lacking(need) <= 0 || a.dry(need) || h.CutOff() || a.storeEmpty() {
 		return
 	}
 	a.addNeed(need)
