--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -91,8 +91,9 @@
 	exposed   *nutmegserve.Server                    // metrics; nil where the address is taken
 	stopping  atomic.Pointer[stopping]               // nil until the instance stops
 	amounts   map[nutmegid.Workspace]nutmegid.Tokens // of the latest configuration, for the log
-	running   atomic.Int64                           // requests in progress
-	bodyBytes atomic.Int64                           // of requests in progress
+	overload  *overload
+	running   atomic.Int64 // requests in progress
+	bodyBytes atomic.Int64 // of requests in progress
 	endRuns   context.CancelCauseFunc
 	runs      context.Context // ends when running requests are cut
 	unfollow  context.CancelFunc
@@ -115,6 +116,7 @@
 	}
 	e.log = cfg.Log.WithFields(logrus.Fields{"instance": cfg.Settings.Instance.Name, "incarnation": e.incarnation})
 	e.runs, e.endRuns = context.WithCancelCause(context.Background())
+	e.overload = &overload{entry: e, done: make(chan struct{})}
 	e.buildStore()
 	e.buildTraffic()
 	return e, nil
@@ -209,6 +211,7 @@
 	e.upstreams.Start(ctx)
 	e.roster.Start(ctx, peers)
 	go e.askPeersLoop(ctx)
+	go e.overload.loop(ctx)
 	e.pool.Start()
 	e.readiness = e.serve(readiness, e.readinessHandler())
 	e.callers = e.serve(callers, http.HandlerFunc(e.handle))
@@ -239,7 +242,7 @@
 
 // Ready says whether the instance takes new callers.
 func (e *Entry) Ready() bool {
-	return e.stopping.Load() == nil && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0
+	return e.stopping.Load() == nil && !e.overload.active() && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0
 }
 
 // Stop ends the instance gracefully within ctx.
@@ -257,6 +260,7 @@
 	failed = errors.Join(failed, e.meter.Stop(finish))
 	e.unfollow()
 	<-e.askedPeers
+	<-e.overload.done
 	e.roster.Stop()
 	e.pool.Stop()
 	e.readiness.Kill()
--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -18,7 +18,7 @@
 	arrived := time.Now()
 	e.running.Add(1)
 	defer e.running.Add(-1)
-	if e.stopping.Load() != nil {
+	if e.stopping.Load() != nil || e.overload.sheds() {
 		w.Header()["Connection"] = []string{"close"}
 	}
 	in, err := e.cfg.Platform.Door.Decode(r)
--- /dev/null
+++ b/internal/instance/nutmegoverload/detector_test.go
@@ -0,0 +1,71 @@
+package nutmegoverload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// play samples a load pattern and returns when the judgement changed.
+func play(d *Detector, from, to time.Duration, lag func(at time.Duration) time.Duration) []time.Duration {
+	var changes []time.Duration
+	for at := from; at < to; at += SampleInterval {
+		if d.Sample(lag(at), at) {
+			changes = append(changes, at)
+		}
+	}
+	return changes
+}
+
+// TestAnInstanceThatGetsTenTimesItsShareIsOverloaded is a caller's rush on one
+// weak instance: timers are late by a quarter of a second until callers move away.
+func TestAnInstanceThatGetsTenTimesItsShareIsOverloaded(t *testing.T) {
+	d := New()
+	changes := play(d, 0, 20*time.Second, func(at time.Duration) time.Duration {
+		if at < 5*time.Second || at > 12*time.Second {
+			return 2 * time.Millisecond
+		}
+		return 250 * time.Millisecond
+	})
+	if len(changes) != 2 || changes[0] > 5500*time.Millisecond || changes[1] < 12*time.Second || changes[1] > 13*time.Second {
+		t.Errorf("the judgement changed at %v, want within half a second of the rush and a second of its end", changes)
+	}
+}
+
+func TestOneLongPauseIsNoOverload(t *testing.T) {
+	d := New()
+	changes := play(d, 0, 5*time.Second, func(at time.Duration) time.Duration {
+		if at == time.Second {
+			return 250 * time.Millisecond
+		}
+		return time.Millisecond
+	})
+	if diff := cmp.Diff([]time.Duration(nil), changes); diff != "" {
+		t.Errorf("changes after one pause (-want +got):\n%s", diff)
+	}
+}
+
+func TestABusyInstanceWhoseTimersFireInTimeTakesCallers(t *testing.T) {
+	d := New()
+	changes := play(d, 0, 30*time.Second, func(at time.Duration) time.Duration {
+		return at % (40 * time.Millisecond)
+	})
+	if diff := cmp.Diff([]time.Duration(nil), changes); diff != "" {
+		t.Errorf("changes at delays of up to 40 ms (-want +got):\n%s", diff)
+	}
+}
+
+// TestAnOverloadLastsUntilCallersHaveMoved has a load that vanishes at once.
+func TestAnOverloadLastsUntilCallersHaveMoved(t *testing.T) {
+	d := New()
+	changes := play(d, 0, 10*time.Second, func(at time.Duration) time.Duration {
+		if at < time.Second {
+			return 300 * time.Millisecond
+		}
+		return 0
+	})
+	if len(changes) != 2 || changes[1]-changes[0] < leastTime {
+		t.Errorf("the judgement changed at %v, want an overload of %v at least", changes, leastTime)
+	}
+}
