Take no new callers while the link is nearly full

Ruled out: the processor (timers fired in time), store polls (0.6 Mbit/s at most). Change: bytes of all connections are counted; over 0.6 of the link an instance is not ready and, once the balancer has moved on, closes connections after their answers, until it is under 0.35.

--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -92,6 +92,7 @@
 	stopping  atomic.Pointer[stopping]               // nil until the instance stops
 	amounts   map[nutmegid.Workspace]nutmegid.Tokens // of the latest configuration, for the log
 	overload  *overload
+	traffic   *nutmegconn.Traffic
 	running   atomic.Int64 // requests in progress
 	bodyBytes atomic.Int64 // of requests in progress
 	endRuns   context.CancelCauseFunc
@@ -116,6 +117,7 @@
 	}
 	e.log = cfg.Log.WithFields(logrus.Fields{"instance": cfg.Settings.Instance.Name, "incarnation": e.incarnation})
 	e.runs, e.endRuns = context.WithCancelCause(context.Background())
+	e.traffic = &nutmegconn.Traffic{}
 	e.overload = &overload{entry: e, done: make(chan struct{})}
 	e.buildStore()
 	e.buildTraffic()
@@ -124,7 +126,7 @@
 
 func (e *Entry) buildStore() {
 	s := e.cfg.Settings
-	dialer := nutmegconn.NewDialer(nutmegconn.DialerConfig{})
+	dialer := nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.client = nutmegstore.NewClient(nutmegstore.ClientConfig{
 		BaseURL: "http://" + s.Store.Address,
 		Dialect: e.cfg.Platform.Dialect,
@@ -167,7 +169,7 @@
 	s := e.cfg.Settings
 	opened := metrics.GetOrRegisterCounter("upstream_connections_opened", e.metrics)
 	e.pool = nutmegconn.NewPool(nutmegconn.PoolConfig{
-		Dial: nutmegconn.NewDialer(nutmegconn.DialerConfig{}).Dial, OnOpen: func() { opened.Inc(1) },
+		Dial: nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic}).Dial, OnOpen: func() { opened.Inc(1) },
 	})
 	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64()})
 	e.retries = nutmegretry.NewBudget(nutmegretry.Config{
@@ -209,12 +211,12 @@
 	e.unfollow = cancel
 	e.config.Start(ctx)
 	e.upstreams.Start(ctx)
-	e.roster.Start(ctx, peers)
+	e.roster.Start(ctx, e.traffic.Listener(peers))
 	go e.askPeersLoop(ctx)
 	go e.overload.loop(ctx)
 	e.pool.Start()
 	e.readiness = e.serve(readiness, e.readinessHandler())
-	e.callers = e.serve(callers, http.HandlerFunc(e.handle))
+	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle))
 	e.serveMetrics()
 	e.event("start").WithFields(logrus.Fields{"callers": l.Callers, "store": e.cfg.Settings.Store.Address}).Info("instance started")
 	return nil
--- a/internal/instance/nutmegoverload/detector_test.go
+++ b/internal/instance/nutmegoverload/detector_test.go
@@ -11,7 +11,7 @@
 func play(d *Detector, from, to time.Duration, lag func(at time.Duration) time.Duration) []time.Duration {
 	var changes []time.Duration
 	for at := from; at < to; at += SampleInterval {
-		if d.Sample(lag(at), at) {
+		if d.Sample(Sample{Lag: lag(at), At: at}) {
 			changes = append(changes, at)
 		}
 	}
@@ -69,3 +69,31 @@
 		t.Errorf("the judgement changed at %v, want an overload of %v at least", changes, leastTime)
 	}
 }
+
+// TestAFullLinkIsAnOverload is a rush of long prompts on an instance with a
+// narrow link, in bursts.
+func TestAFullLinkIsAnOverload(t *testing.T) {
+	d := New()
+	var changes []time.Duration
+	for at := time.Duration(0); at < 20*time.Second; at += SampleInterval {
+		link := 0.1
+		if at > 5*time.Second && at < 10*time.Second && at%(200*time.Millisecond) != 0 {
+			link = 1
+		}
+		if d.Sample(Sample{Link: link, At: at}) {
+			changes = append(changes, at)
+		}
+	}
+	if len(changes) != 2 || changes[0] < 5*time.Second || changes[0] > 7*time.Second || changes[1] < 10*time.Second || changes[1] > 13*time.Second {
+		t.Errorf("the judgement changed at %v, want within two seconds of the rush and three of its end", changes)
+	}
+}
+
+func TestAHalfFullLinkTakesCallers(t *testing.T) {
+	d := New()
+	for at := time.Duration(0); at < 20*time.Second; at += SampleInterval {
+		if d.Sample(Sample{Link: 0.5, At: at}) {
+			t.Fatalf("overloaded at %v with half of the link in use", at)
+		}
+	}
+}
--- a/internal/traffic/nutmegconn/dial.go
+++ b/internal/traffic/nutmegconn/dial.go
@@ -25,11 +25,13 @@
 type DialerConfig struct {
 	Timeout time.Duration // DefaultDialTimeout when zero
 	Silence time.Duration // DefaultSilence when zero
+	Traffic *Traffic      // counts the connections' bytes; nil for none
 }
 
 // Dialer opens connections that end when the other end's host falls silent.
 type Dialer struct {
-	dialer net.Dialer
+	dialer  net.Dialer
+	traffic *Traffic
 }
 
 // NewDialer returns a dialer.
@@ -40,7 +42,7 @@
 	if cfg.Silence == 0 {
 		cfg.Silence = DefaultSilence
 	}
-	return &Dialer{dialer: net.Dialer{
+	return &Dialer{traffic: cfg.Traffic, dialer: net.Dialer{
 		Timeout:         cfg.Timeout,
 		KeepAliveConfig: KeepAlive(),
 		Control:         userTimeout(cfg.Silence),
@@ -49,7 +51,11 @@
 
 // Dial opens a connection.
 func (d *Dialer) Dial(ctx context.Context, network, address string) (net.Conn, error) {
-	return d.dialer.DialContext(ctx, network, address)
+	c, err := d.dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return d.traffic.count(c), nil
 }
 
 // KeepAlive returns the probes of idle connections.
