--- a/internal/instance/nutmegoverload/detector_test.go
+++ b/internal/instance/nutmegoverload/detector_test.go
@@ -8,9 +8,9 @@
 )
 
 // play samples a load pattern and returns when the judgement changed.
-func play(d *Detector, from, to time.Duration, lag func(at time.Duration) time.Duration) []time.Duration {
+func play(d *Detector, to time.Duration, lag func(at time.Duration) time.Duration) []time.Duration {
 	var changes []time.Duration
-	for at := from; at < to; at += SampleInterval {
+	for at := time.Duration(0); at < to; at += SampleInterval {
 		if d.Sample(Sample{Lag: lag(at), At: at}) {
 			changes = append(changes, at)
 		}
@@ -22,7 +22,7 @@
 // weak instance: timers are late by a quarter of a second until callers move away.
 func TestAnInstanceThatGetsTenTimesItsShareIsOverloaded(t *testing.T) {
 	d := New()
-	changes := play(d, 0, 20*time.Second, func(at time.Duration) time.Duration {
+	changes := play(d, 20*time.Second, func(at time.Duration) time.Duration {
 		if at < 5*time.Second || at > 12*time.Second {
 			return 2 * time.Millisecond
 		}
@@ -35,7 +35,7 @@
 
 func TestOneLongPauseIsNoOverload(t *testing.T) {
 	d := New()
-	changes := play(d, 0, 5*time.Second, func(at time.Duration) time.Duration {
+	changes := play(d, 5*time.Second, func(at time.Duration) time.Duration {
 		if at == time.Second {
 			return 250 * time.Millisecond
 		}
@@ -48,7 +48,7 @@
 
 func TestABusyInstanceWhoseTimersFireInTimeTakesCallers(t *testing.T) {
 	d := New()
-	changes := play(d, 0, 30*time.Second, func(at time.Duration) time.Duration {
+	changes := play(d, 30*time.Second, func(at time.Duration) time.Duration {
 		return at % (40 * time.Millisecond)
 	})
 	if diff := cmp.Diff([]time.Duration(nil), changes); diff != "" {
@@ -59,7 +59,7 @@
 // TestAnOverloadLastsUntilCallersHaveMoved has a load that vanishes at once.
 func TestAnOverloadLastsUntilCallersHaveMoved(t *testing.T) {
 	d := New()
-	changes := play(d, 0, 10*time.Second, func(at time.Duration) time.Duration {
+	changes := play(d, 10*time.Second, func(at time.Duration) time.Duration {
 		if at < time.Second {
 			return 300 * time.Millisecond
 		}
