--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -79,6 +79,15 @@
 
 // New returns a meter without leases.
 func New(cfg Config) *Meter {
+	cfg = withDefaults(cfg)
+	m := &Meter{cfg: cfg, demand: newDemand(), lent: newLent(), quit: make(chan struct{}), done: make(chan struct{})}
+	if cfg.Homes != nil {
+		m.outbox = newOutbox(cfg.Homes.Settle, cfg.OnUnsettled)
+	}
+	return m
+}
+
+func withDefaults(cfg Config) Config {
 	if cfg.StoreUp == nil {
 		cfg.StoreUp = func() bool { return true }
 	}
@@ -94,11 +103,7 @@
 	if cfg.OnUnsettled == nil {
 		cfg.OnUnsettled = func(nutmegview.Instance, int) {}
 	}
-	m := &Meter{cfg: cfg, demand: newDemand(), lent: newLent(), quit: make(chan struct{}), done: make(chan struct{})}
-	if cfg.Homes != nil {
-		m.outbox = newOutbox(cfg.Homes.Settle, cfg.OnUnsettled)
-	}
-	return m
+	return cfg
 }
 
 // Open begins to lease tokens of budgets that are spread over a number of
