Tell in a budget refusal what it rests on and how old that is

Cause: a refusal's log line named neither the tokens that were seen nor the age of that view, so that a stale view could not be told from an empty budget.

--- a/internal/budget/nutmegmeter/home_test.go
+++ b/internal/budget/nutmegmeter/home_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -70,8 +71,6 @@
 	others []*Meter
 	number int // of the latest incarnation
 
-	storeUp func() bool // nil for always
-
 	mu          sync.Mutex
 	faults      *rand.Rand
 	loseAsks    float64 // share of reservations whose answer is lost
@@ -108,7 +107,7 @@
 	incarnation := nutmegid.Incarnation(fmt.Sprint("boot-", w.number))
 	m := New(Config{
 		Writer: nutmegstore.NewWriter(memory{w.stand}, incarnation), View: w.view, Incarnation: incarnation,
-		StoreUp: w.storeUp, Instance: nutmegid.Instance(incarnation), Horizon: 10 * time.Second, Leased: 0.3, Even: 0.25, Spread: 3000, Homes: homes,
+		Instance: nutmegid.Instance(incarnation), Horizon: 10 * time.Second, Leased: 0.3, Even: 0.25, Spread: 3000, Homes: homes,
 	})
 	m.Open(1)
 	return m
@@ -291,3 +290,23 @@
 		}
 	})
 }
+
+// TestARefusalTellsWhatItRestsOn asks for more than there is.
+func TestARefusalTellsWhatItRestsOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newTown(4)
+		defer w.end(t)
+		_, refusal := w.home.Load().Reserve(t.Context(), &nutmegcall.Call{
+			ID: "request", Workspace: "rack", Metered: true, Route: &nutmegview.Route{}, Arrived: time.Now(), Deadline: time.Now().Add(time.Second),
+			Prompt: nutmegcall.Prompt{Tokens: 2 * testPrepaid},
+		})
+		if refusal == nil || refusal.Reason != nutmegcall.ReasonBudget {
+			t.Fatalf("refusal %v, want %s", refusal, nutmegcall.ReasonBudget)
+		}
+		for _, part := range []string{"60000 unspent", "seen 0 ms ago", "silent for 0 ms"} {
+			if !strings.Contains(refusal.Detail, part) {
+				t.Errorf("the detail %q does not tell %q", refusal.Detail, part)
+			}
+		}
+	})
+}
--- a/internal/budget/nutmegmeter/meter.go
+++ b/internal/budget/nutmegmeter/meter.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -219,25 +220,33 @@
 		floor = m.demand.expect(w.workspace, urgentSpan, w.at)
 	}
 	r, err := holder.AcquireAbove(ctx, id, "", w.tokens, floor)
-	switch {
-	case err == nil:
+	if err == nil {
 		return r, nil
-	case nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && holder.Unspent(id) < w.tokens:
-		return nutmegbudget.Reservation{}, &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: err.Error()}
 	}
-	return nutmegbudget.Reservation{}, unreachable(err.Error(), m.returnAfter(holder, id, w.tokens))
+	seen := holder.Seen(id)
+	detail := m.describe(err, seen)
+	if nutmegbudget.IsKind(err, nutmegbudget.KindExhausted) && seen.Unspent < w.tokens {
+		return nutmegbudget.Reservation{}, &nutmegcall.Refusal{Reason: nutmegcall.ReasonBudget, Detail: detail}
+	}
+	return nutmegbudget.Reservation{}, unreachable(detail, m.returnAfter(holder.CutOff(), seen.Live < w.tokens))
+}
+
+// describe tells what a refusal rests on and how old that is.
+func (m *Meter) describe(err error, seen nutmegbudget.Seen) string {
+	return fmt.Sprintf("%v; %d remaining, %d with live holders, %d unspent, seen %d ms ago; the store was silent for %d ms",
+		err, seen.Remaining, seen.Live, seen.Unspent, seen.Age.Milliseconds(), m.cfg.StoreSilence().Milliseconds())
 }
 
 // returnAfter is when a request may find the tokens that it was refused. An
 // outage of the store is taken to last about as long again as it has lasted.
 // Tokens that only dead holders have do not come back by themselves. Callers are
 // spread over half of the time, so that they do not return together.
-func (m *Meter) returnAfter(holder *nutmegbudget.Holder, id nutmegid.BudgetID, tokens nutmegid.Tokens) time.Duration {
+func (m *Meter) returnAfter(cutOff, onlyDead bool) time.Duration {
 	after := retryAfter
 	switch {
-	case holder.CutOff():
+	case cutOff:
 		after = min(max(m.cfg.StoreSilence(), leastOutage), maxRetryAfter)
-	case holder.Live(id) < tokens:
+	case onlyDead:
 		after = maxRetryAfter
 	}
 	return after + rand.N(after/2)
--- a/nutmegbudget/holder.go
+++ b/nutmegbudget/holder.go
@@ -410,22 +410,24 @@
 	return !h.cfg.StoreUp() || h.doubtful.Load()
 }
 
-// Unspent returns the tokens of a budget that were not known to be spent at
-// this holder's latest commit, leases of all holders included.
-func (h *Holder) Unspent(id nutmegid.BudgetID) nutmegid.Tokens {
-	a := h.account(id)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.unspent
+// Seen is what this holder's latest commit told of a budget.
+type Seen struct {
+	Remaining nutmegid.Tokens // that no holder has
+	Live      nutmegid.Tokens // Remaining and the leases of holders that may be up
+	Unspent   nutmegid.Tokens // not known to be spent: Remaining and all leases
+	Age       time.Duration   // since the commit; zero before the first
 }
 
-// Live returns the tokens of a budget that holders have which may be up, and
-// those that no holder has, as of this holder's latest commit.
-func (h *Holder) Live(id nutmegid.BudgetID) nutmegid.Tokens {
+// Seen returns what was seen of a budget.
+func (h *Holder) Seen(id nutmegid.BudgetID) Seen {
 	a := h.account(id)
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.live.tokens
+	seen := Seen{Remaining: a.remaining, Live: a.live.tokens, Unspent: a.unspent}
+	if !a.seenAt.IsZero() {
+		seen.Age = time.Since(a.seenAt)
+	}
+	return seen
 }
 
 // Balance is one budget's local state.
