--- a/nutmegbudget/account.go
+++ b/nutmegbudget/account.go
@@ -50,9 +50,10 @@
 // move is one side's memory of a transfer.
 type move struct {
 	Transfer
-	credited bool // of a receiver: the tokens are in free
-	named    bool // the store knows this side's naming
-	asking   bool // of a receiver: the giver's answer is awaited
+	credited bool            // of a receiver: the tokens are in free
+	named    bool            // the store knows this side's naming
+	asking   bool            // of a receiver: the giver's answer is awaited
+	want     nutmegid.Tokens // of a receiver: asked for
 }
 
 // take moves n free tokens to reserved and leaves at least floor free.
@@ -310,6 +311,25 @@
 	return granted
 }
 
+// wanted returns the tokens to ask a peer for, so that the account holds what
+// its policy wants of the tokens last seen. Answers that are awaited count as held.
+func (a *account) wanted() nutmegid.Tokens {
+	live := a.live
+	if !a.known {
+		live.tokens = maxTokens
+	}
+	held := a.held()
+	for _, m := range a.transfers {
+		if m.asking {
+			held += m.want
+		}
+	}
+	return a.terms.Policy.Target(View{
+		Rate: a.rate, Held: held, Remaining: maxTokens, Prepaid: maxTokens, Holders: 1,
+		Live: live.tokens, TotalRate: live.rate, LiveHolders: live.holders,
+	}) - held
+}
+
 // committed describes the account's part in a written commit.
 func (a *account) committed(e Entry, granted nutmegid.Tokens) Committed {
 	a.mu.Lock()
--- a/nutmegbudget/fair_test.go
+++ b/nutmegbudget/fair_test.go
@@ -1,6 +1,7 @@
 package nutmegbudget
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -217,3 +218,54 @@
 		}
 	})
 }
+
+// silentPeers note what they are asked for and give nothing.
+type silentPeers struct {
+	Peers
+	answer chan struct{}
+	asked  chan Ask
+}
+
+func (p silentPeers) Holders(nutmegid.BudgetID) []nutmegid.Incarnation {
+	return []nutmegid.Incarnation{"other"}
+}
+
+func (p silentPeers) Ask(_ context.Context, _ nutmegid.Incarnation, ask Ask) (nutmegid.Tokens, error) {
+	p.asked <- ask
+	<-p.answer
+	return 0, nil
+}
+
+// TestAHolderThatIsCutOffAsksForItsShareOnce has requests that lack tokens at
+// the same time: together they ask for what the policy lets one holder have of
+// the tokens last seen, not for as much each.
+func TestAHolderThatIsCutOffAsksForItsShareOnce(t *testing.T) {
+	const live, requests = 692_425, 5
+	peers := silentPeers{answer: make(chan struct{}), asked: make(chan Ask, requests)}
+	policy := FairShare{Horizon: 7 * time.Second, Leased: 0.3, Even: 0.25, Spread: 30_000}
+	h := NewHolder(HolderConfig{
+		Incarnation: "x", Instance: "one", StoreUp: func() bool { return false }, Peers: peers,
+		Terms: func(nutmegid.BudgetID) Terms { return Terms{Policy: policy, Share: true} },
+	})
+	a := h.account("a")
+	a.known, a.rate, a.live = true, 50_000, liveLeases{tokens: live, rate: 60_000, holders: 3}
+	done := make(chan struct{})
+	for range requests {
+		go func() {
+			h.askPeers(t.Context(), a, 8000, true)
+			done <- struct{}{}
+		}()
+	}
+	var sum nutmegid.Tokens
+	for range requests {
+		ask := <-peers.asked
+		sum += max(ask.Need, ask.Want)
+	}
+	close(peers.answer)
+	for range requests {
+		<-done
+	}
+	if limit := nutmegid.Tokens(live*3/10 + requests*8000); sum > limit {
+		t.Errorf("%d tokens were asked for of %d, want %d at most", sum, live, limit)
+	}
+}
--- a/nutmegbudget/transfer.go
+++ b/nutmegbudget/transfer.go
@@ -130,11 +130,9 @@
 	m := &move{asking: true}
 	m.Transfer = Transfer{ID: id, Giver: peer, Receiver: h.cfg.Incarnation}
 	a.mu.Lock()
+	want := a.wanted()
+	m.want = max(lacking, want)
 	a.remember(id, m)
-	want := a.terms.Policy.Target(View{
-		Rate: a.rate, Held: a.held(), Need: lacking, Remaining: maxTokens, Prepaid: maxTokens, Holders: 1,
-		Live: maxTokens, TotalRate: a.live.rate, LiveHolders: a.live.holders,
-	}) - a.held()
 	a.mu.Unlock()
 	given, err := h.cfg.Peers.Ask(ctx, peer, Ask{
 		Transfer: id, Budget: a.id, Receiver: h.cfg.Incarnation, Giver: peer, Need: lacking, Want: max(lacking, want), Fetch: fetch,
