--- a/nutmegbudget/fair_test.go
+++ b/nutmegbudget/fair_test.go
@@ -157,17 +157,24 @@
 	}
 }
 
+// newFairWorld returns a world whose holders share a budget of a million tokens.
+func newFairWorld(t *testing.T) (*world, nutmegid.BudgetID) {
+	t.Helper()
+	w := newWorld(profile{terms: Terms{Policy: fair, Share: true}})
+	id := nutmegid.WorkspaceBudget("rack")
+	err := w.operate(func(s *Shard) error {
+		s.SetAmounts(1, map[nutmegid.BudgetID]nutmegid.Tokens{id: 1_000_000})
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return w, id
+}
+
 func TestAPeerThatReachesTheStoreFetchesForOneThatDoesNot(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(profile{terms: Terms{Policy: fair, Share: true}})
-		id := nutmegid.WorkspaceBudget("rack")
-		err := w.operate(func(s *Shard) error {
-			s.SetAmounts(1, map[nutmegid.BudgetID]nutmegid.Tokens{id: 1_000_000})
-			return nil
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		w, id := newFairWorld(t)
 		cut, connected := w.nodes[0], w.nodes[1]
 		ask := Ask{Transfer: "t1", Budget: id, Receiver: cut.inc, Giver: connected.inc, Need: 5000, Want: 5000}
 		if given := connected.holder.Give(t.Context(), ask); given != 0 {
@@ -184,15 +191,7 @@
 // commit that returns its leases is under way.
 func TestAHolderThatLeavesGivesNothingAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(profile{terms: Terms{Policy: fair, Share: true}})
-		id := nutmegid.WorkspaceBudget("rack")
-		err := w.operate(func(s *Shard) error {
-			s.SetAmounts(1, map[nutmegid.BudgetID]nutmegid.Tokens{id: 1_000_000})
-			return nil
-		})
-		if err != nil {
-			t.Fatal(err)
-		}
+		w, id := newFairWorld(t)
 		leaving, cut := w.nodes[0], w.nodes[1]
 		r, err := leaving.holder.Acquire(t.Context(), id, "", 5000)
 		if err != nil {
