--- a/nutmegpeer/conn.go
+++ b/nutmegpeer/conn.go
@@ -152,16 +152,18 @@
 	return c, true
 }
 
-// closeIdle closes connections that were not used since a time.
+// closeIdle closes connections that were not used since a time. Those with a
+// call under way stay, so that nobody waits for them.
 func (p *connPool) closeIdle(since time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for address, conns := range p.conns {
 		kept := slices.DeleteFunc(conns, func(c *conn) bool {
-			if c.idleSince().After(since) {
+			if c.idleSince().After(since) || !c.takeTurn() {
 				return false
 			}
-			c.close()
+			c.drop()
+			<-c.turn
 			return true
 		})
 		if p.conns[address] = kept; len(kept) == 0 {
@@ -170,8 +172,16 @@
 	}
 }
 
+// close closes all connections after the calls that run on them.
 func (p *connPool) close() {
-	p.closeIdle(time.Now().Add(time.Hour))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, conns := range p.conns {
+		for _, c := range conns {
+			c.close()
+		}
+	}
+	clear(p.conns)
 }
 
 // quietListener closes accepted connections that are silent for too long, so
--- a/nutmegpeer/peers_test.go
+++ b/nutmegpeer/peers_test.go
@@ -364,3 +364,22 @@
 		}
 	}
 }
+
+// TestAnIdleSweepWaitsForNoCall sweeps while a call is under way on a
+// connection that is as old as the sweep asks for: the sweep ends at once, and
+// the call gets its answer.
+func TestAnIdleSweepWaitsForNoCall(t *testing.T) {
+	slow := slowReservations{answer: make(chan struct{}), asked: make(chan struct{})}
+	s := newSwarm(t, 2, func(_ int, cfg *Config) { cfg.Reservations = slow })
+	answered := make(chan error, 1)
+	go func() {
+		_, err := s.peers[0].Reserve(t.Context(), s.peers[1].address, ReserveAsk{Reservation: "r", Workspace: "rack", Tokens: 100})
+		answered <- err
+	}()
+	<-slow.asked
+	s.peers[0].conns.closeIdle(time.Now().Add(time.Hour))
+	close(slow.answer) // only now can the call end
+	if err := <-answered; err != nil {
+		t.Error(err)
+	}
+}
