Remove what nothing uses: JSON names of batches, Share.Stranded, Pool.Forget

Cause: reading the change again. Batches have not travelled since the keepers were removed, so their JSON names said nothing; Share.Stranded was never set; Pool.Forget and a negative MaxIdleAge had no callers. The tests pass. Conclusion: behaviour stays.

--- a/internal/traffic/nutmegconn/pool.go
+++ b/internal/traffic/nutmegconn/pool.go
@@ -142,11 +142,6 @@
 	}
 }
 
-// Forget closes the unused connections to an address.
-func (p *Pool) Forget(address string) {
-	p.sweep(func(c *conn) bool { return c.address == address })
-}
-
 func (p *Pool) sweep(drop func(*conn) bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -175,7 +170,7 @@
 	// Belongs says whether an answer is this request's own.
 	Belongs func(*http.Response) bool
 	// MaxIdleAge is how long a kept connection may have been unused; zero sets
-	// no limit, less than zero asks for a new connection.
+	// no limit.
 	MaxIdleAge time.Duration
 }
 
@@ -204,11 +199,7 @@
 
 // take returns a kept connection that is still good, or a new one.
 func (p *Pool) take(ctx context.Context, r Request) (*conn, error) {
-	for r.MaxIdleAge >= 0 {
-		c := p.pop(r)
-		if c == nil {
-			break
-		}
+	for c := p.pop(r); c != nil; c = p.pop(r) {
 		if c.quiet() {
 			return c, nil
 		}
--- a/nutmegbudget/batch.go
+++ b/nutmegbudget/batch.go
@@ -9,62 +9,61 @@
 )
 
 // Batch is one commit of one holder to one shard. Its number makes it apply
-// once, whoever writes it and however often.
+// once, however often it is written.
 type Batch struct {
-	Incarnation nutmegid.Incarnation `json:"incarnation"`
-	Instance    nutmegid.Instance    `json:"instance"`
-	Number      uint64               `json:"number"`
+	Incarnation nutmegid.Incarnation
+	Instance    nutmegid.Instance
+	Number      uint64
 	// Joined says that an earlier batch has made the holder's record.
-	Joined bool `json:"joined,omitempty"`
+	Joined bool
 	// Drained says that a released holder holds nothing any more.
-	Drained bool `json:"drained,omitempty"`
+	Drained bool
 	// Leave ends the holder; nothing is granted.
-	Leave bool `json:"leave,omitempty"`
+	Leave bool
 	// Rewitness replaces the witnesses by Witnesses.
-	Rewitness bool                   `json:"rewitness,omitempty"`
-	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
-	Entries   []Entry                `json:"entries"`
+	Rewitness bool
+	Witnesses []nutmegid.Incarnation
+	Entries   []Entry
 }
 
 // Entry is one budget's part of a batch.
 type Entry struct {
-	Budget   nutmegid.BudgetID `json:"budget"`
-	Settle   nutmegid.Tokens   `json:"settle,omitempty"`
-	GiveBack nutmegid.Tokens   `json:"give_back,omitempty"`
-	Need     nutmegid.Tokens   `json:"need,omitempty"`
-	Rate     float64           `json:"rate,omitempty"`
-	Idle     bool              `json:"idle,omitempty"`
-	Acked    nutmegid.Tokens   `json:"acked,omitempty"`
+	Budget   nutmegid.BudgetID
+	Settle   nutmegid.Tokens
+	GiveBack nutmegid.Tokens
+	Need     nutmegid.Tokens
+	Rate     float64
+	Idle     bool
+	Acked    nutmegid.Tokens
 	// Plain leaves the lease unwitnessed, whatever the holder's witnesses.
-	Plain bool       `json:"plain,omitempty"`
-	Named []Transfer `json:"named,omitempty"`
+	Plain bool
+	Named []Transfer
 }
 
 // Result is a shard's state after a batch, as far as its holder needs it.
 type Result struct {
 	// Gone says that the shard does not know the holder any more.
-	Gone      bool                   `json:"gone,omitempty"`
-	Released  bool                   `json:"released,omitempty"`
-	Epoch     uint64                 `json:"epoch,omitempty"`
-	Witnesses []nutmegid.Incarnation `json:"witnesses,omitempty"`
-	Shares    []Share                `json:"shares"`
+	Gone      bool
+	Released  bool
+	Epoch     uint64
+	Witnesses []nutmegid.Incarnation
+	Shares    []Share
 }
 
 // Share is the state of one entry's budget.
 type Share struct {
-	Known     bool            `json:"known"`
-	Granted   nutmegid.Tokens `json:"granted"`
-	Taken     nutmegid.Tokens `json:"taken,omitempty"`
-	Remaining nutmegid.Tokens `json:"remaining"`
-	Unspent   nutmegid.Tokens `json:"unspent,omitempty"` // leases included
+	Known     bool
+	Granted   nutmegid.Tokens
+	Taken     nutmegid.Tokens
+	Remaining nutmegid.Tokens
+	Unspent   nutmegid.Tokens // leases included
 	// Live, TotalRate and LiveHolders are as in View.
-	Live        nutmegid.Tokens        `json:"live,omitempty"`
-	TotalRate   float64                `json:"total_rate,omitempty"`
-	LiveHolders int                    `json:"live_holders,omitempty"`
-	Holders     int                    `json:"holders"`
-	Rich        []nutmegid.Incarnation `json:"rich,omitempty"`
-	Stranded    nutmegid.Tokens        `json:"stranded,omitempty"`
-	Transfers   []Transfer             `json:"transfers,omitempty"`
+	Live        nutmegid.Tokens
+	TotalRate   float64
+	LiveHolders int
+	Holders     int
+	Rich        []nutmegid.Incarnation
+	Transfers   []Transfer
 }
 
 // Apply changes the shard by a batch, once, and returns ErrUnchanged where an
