--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -74,6 +74,7 @@
 	metrics     metrics.Registry
 	start       time.Time
 
+	dialer    *nutmegconn.Dialer // of the store, peers and upstreams
 	client    *nutmegstore.Client
 	writer    *nutmegstore.Writer
 	view      *nutmegview.View
@@ -118,6 +119,7 @@
 	e.log = cfg.Log.WithFields(logrus.Fields{"instance": cfg.Settings.Instance.Name, "incarnation": e.incarnation})
 	e.runs, e.endRuns = context.WithCancelCause(context.Background())
 	e.traffic = &nutmegconn.Traffic{}
+	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.overload = &overload{entry: e, done: make(chan struct{})}
 	e.buildStore()
 	e.buildTraffic()
@@ -126,12 +128,11 @@
 
 func (e *Entry) buildStore() {
 	s := e.cfg.Settings
-	dialer := nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.client = nutmegstore.NewClient(nutmegstore.ClientConfig{
 		BaseURL: "http://" + s.Store.Address,
 		Dialect: e.cfg.Platform.Dialect,
 		HTTP: &http.Client{Transport: &http.Transport{
-			DialContext:         dialer.Dial,
+			DialContext:         e.dialer.Dial,
 			MaxIdleConnsPerHost: storeConnections,
 			IdleConnTimeout:     storeIdle,
 		}},
@@ -150,7 +151,7 @@
 		Store: e.client, Kind: e.cfg.Platform.UpstreamKind, Decode: e.cfg.Platform.DecodeUpstream, View: e.view, OnChange: e.upstreamChanged,
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
-		Client: e.client, Writer: e.writer, Dial: dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
+		Client: e.client, Writer: e.writer, Dial: e.dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
 		Budgets: budgetServer{e}, Reservations: reservationServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, Library: library{e}, Shards: e.budgetShards, OnFleet: func(shards int) { e.meter.Open(shards) },
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
@@ -169,7 +170,7 @@
 	s := e.cfg.Settings
 	opened := metrics.GetOrRegisterCounter("upstream_connections_opened", e.metrics)
 	e.pool = nutmegconn.NewPool(nutmegconn.PoolConfig{
-		Dial: nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic}).Dial, OnOpen: func() { opened.Inc(1) },
+		Dial: e.dialer.Dial, OnOpen: func() { opened.Inc(1) },
 	})
 	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64()})
 	e.retries = nutmegretry.NewBudget(nutmegretry.Config{
