Log when an upstream ended under a request, and the content that they share

Operators saw many upstreams end one after the other, and the logs told only that connections had closed: neither whether the process had ended nor whether two ids were the same request.

After a connection that closed before its answer was complete, the instance dials the upstream once for all requests that were there. A refused port means that the process has ended; an accepted connection joins the pool. The line request_upstream_ended names the upstream and a hash of the caller's workspace, target and body. No decision depends on it yet.

--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -127,6 +127,9 @@
 	if d.Err != nil {
 		entry = entry.WithError(d.Err)
 	}
+	if d.Content != "" {
+		entry = entry.WithField("content", d.Content)
+	}
 	entry.Info("request progress")
 }
 
--- a/internal/traffic/nutmegconn/pool.go
+++ b/internal/traffic/nutmegconn/pool.go
@@ -28,6 +28,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/sync/singleflight"
 )
 
 const (
@@ -97,6 +99,8 @@
 	stop chan struct{}
 	done chan struct{}
 
+	liveness singleflight.Group // of HasEnded, by address
+
 	mu   sync.Mutex
 	idle map[string][]*conn // by address; the most recently used last
 }
@@ -238,11 +242,10 @@
 	return c
 }
 
-// put returns a connection to the pool. If the pool is full it closes the least
+// put adds an idle connection to the pool. If the pool is full it closes the least
 // recently used one.
 func (p *Pool) put(c *conn) {
 	c.idleSince = p.cfg.Now()
-	c.uses++
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[c.address]
--- a/internal/traffic/nutmegconn/response.go
+++ b/internal/traffic/nutmegconn/response.go
@@ -37,6 +37,7 @@
 		_ = r.conn.Close()
 		return
 	}
+	r.conn.uses++
 	r.pool.put(r.conn)
 }
 
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegevent"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
@@ -87,6 +88,9 @@
 			return e.interrupted(ctx)
 		}
 		e.logDecision(DecisionFailed, placement, err)
+		if result == attemptUnknown && nutmegconn.IsConnectionLost(err) {
+			e.checkUpstream(ctx, placement)
+		}
 		if result == attemptUnknown && !e.mayRetryAfterRun() {
 			return e.fail(err)
 		}
@@ -313,6 +317,17 @@
 	e.relay.cfg.Placer.Done(p, result, e.relay.cfg.Elapsed())
 }
 
+// checkUpstream records whether the upstream's process has ended, after it closed
+// the connection before its response was complete.
+func (e *exchange) checkUpstream(ctx context.Context, p *nutmegplace.Placement) {
+	if !e.relay.cfg.Pool.HasEnded(ctx, p.Upstream.Address) {
+		return
+	}
+	e.relay.cfg.OnDecision(e.call, Decision{
+		Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Content: nutmegsuspect.ContentKey(e.call),
+	})
+}
+
 // handleRefusal ends an attempt that the upstream did not run.
 func (e *exchange) handleRefusal(p *nutmegplace.Placement, resp *nutmegconn.Response, info ResponseInfo) (attemptResult, error) {
 	result := nutmegplace.ResultBusy
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -27,6 +27,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegretry"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
@@ -86,6 +87,9 @@
 	Attempt  int // number of the attempt, starting at 1
 	Detail   string
 	Err      error
+	// Content identifies requests with the same content; only of
+	// DecisionUpstreamEnded.
+	Content nutmegsuspect.Key
 }
 
 // DecisionKind is the kind of a Decision.
@@ -97,6 +101,7 @@
 	DecisionResume           DecisionKind = "resumed"
 	DecisionFailed           DecisionKind = "attempt_failed"
 	DecisionRetryBudgetSpent DecisionKind = "retry_budget_spent"
+	DecisionUpstreamEnded    DecisionKind = "upstream_ended" // while the request may have run there
 )
 
 // Config configures a Relay.
--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -117,6 +117,9 @@
 	}
 	if !errors.Is(readErr, io.EOF) {
 		e.finish(ctx, p, nutmegplace.ResultFailed)
+		if nutmegconn.IsConnectionLost(readErr) {
+			e.checkUpstream(ctx, p)
+		}
 		e.outcome.Reason = nutmegcall.ReasonResponseIncomplete
 		e.outcome.Detail = readErr.Error()
 		return attemptDone, nil
@@ -203,7 +206,7 @@
 func (e *exchange) endStream(ctx context.Context, p *nutmegplace.Placement, resp *nutmegconn.Response) (attemptResult, error) {
 	if pending := e.events.Pending(); len(pending) > 0 {
 		e.finish(ctx, p, nutmegplace.ResultFailed)
-		return attemptUnknown, fmt.Errorf("stream ended within an event after %d events", e.events.Events)
+		return attemptUnknown, fmt.Errorf("stream ended within an event after %d events: %w", e.events.Events, io.ErrUnexpectedEOF)
 	}
 	e.sendHeader(resp)
 	e.finish(ctx, p, nutmegplace.ResultAnswered)
--- /dev/null
+++ b/internal/traffic/nutmegsuspect/doc.go
@@ -0,0 +1,6 @@
+// Package nutmegsuspect identifies requests under which upstreams crash.
+//
+// # Usage
+//
+//	key := nutmegsuspect.ContentKey(call)
+package nutmegsuspect
