--- a/internal/traffic/nutmegconn/liveness_test.go
+++ b/internal/traffic/nutmegconn/liveness_test.go
@@ -29,10 +29,10 @@
 
 func TestOnlyClosedConnectionsCountAsLost(t *testing.T) {
 	for err, want := range map[error]bool{
-		io.ErrUnexpectedEOF: true,
+		io.ErrUnexpectedEOF:                        true,
 		fmt.Errorf("read: %w", syscall.ECONNRESET): true,
-		errors.New("malformed response"):            false,
-		syscall.ECONNREFUSED:                        false,
+		errors.New("malformed response"):           false,
+		syscall.ECONNREFUSED:                       false,
 	} {
 		if got := IsConnectionLost(&Error{Address: "a", Err: err}); got != want {
 			t.Errorf("%v: connection lost is %t, want %t", err, got, want)
