Bring gossip items to instances that join or were cut off

Digests carry the newest items only, so that an instance that started later, or was cut off while they were new, waited for one old item a round; and rounds on the platform are ten seconds apart.

A digest now carries a hash over all items of its sender. Where it differs, the callee answers with a sample of all its items (16 KiB), and the caller sends such a sample if the callee still differs. While there are items, rounds are one second apart.

--- a/nutmegpeer/defaults.go
+++ b/nutmegpeer/defaults.go
@@ -21,6 +21,9 @@
 	fullRoundGrowth    = 4               // the number of the next round that asks for all members, divided by that of the last one
 	maxDigestItems     = 8               // gossip items in one digest
 	maxDigestItemBytes = 4 << 10         // size of the keys and values of the gossip items in one digest
+	maxReceivedItems   = 1024            // gossip items that are accepted in one digest
+	maxSyncBytes       = 16 << 10        // size of the items in a digest between peers that hold different ones
+	itemInterval       = time.Second     // time between two rounds while there are items, if Config.Interval is longer
 	maxMemberBytes     = 512             // size of the incarnation, names and address of one member
 	maxPeerConns       = 8               // connections to one peer
 	maxMessageBytes    = 4 << 20         // size of any message between peers
--- a/nutmegpeer/gossip.go
+++ b/nutmegpeer/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"hash/fnv"
 	"math/bits"
 	"slices"
 	"sync"
@@ -47,6 +48,7 @@
 // itemState is an item and the number of digests that carried it.
 type itemState struct {
 	item Item
+	hash uint64
 	sent int
 }
 
@@ -105,7 +107,7 @@
 	if ok && known.item.Version >= i.Version && known.item.Expires.After(g.now()) {
 		return false, nil
 	}
-	byKey[i.Key] = &itemState{item: i}
+	byKey[i.Key] = &itemState{item: i, hash: i.hash()}
 	g.evict(byKey, rule.MaxItems)
 	if _, kept := byKey[i.Key]; !kept {
 		return false, nil
@@ -167,6 +169,67 @@
 	return selected
 }
 
+// sample returns random items of at most size bytes: all of them, if they are not
+// too large.
+func (g *Gossip) sample(size int) []*peerpb.Item {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var selected []*peerpb.Item
+	for _, byKey := range g.items {
+		for _, s := range byKey { // in random order
+			if !s.item.Expires.After(now) {
+				continue
+			}
+			if size -= len(s.item.Key) + len(s.item.Value); size < 0 {
+				return selected
+			}
+			selected = append(selected, s.item.toProto())
+		}
+	}
+	return selected
+}
+
+// hash returns a hash over all items that have not expired, which does not depend
+// on their order; zero if there are none.
+func (g *Gossip) hash() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	var sum uint64
+	for _, byKey := range g.items {
+		for _, s := range byKey {
+			if s.item.Expires.After(now) {
+				sum += s.hash
+			}
+		}
+	}
+	return sum
+}
+
+// mustAnnounce reports whether an urgent item has been sent to fewer than
+// announceFanout peers.
+func (g *Gossip) mustAnnounce() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	now := g.now()
+	for kind, byKey := range g.items {
+		for _, s := range byKey {
+			if g.rules[kind].Urgent && s.sent < announceFanout && s.item.Expires.After(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// hash returns a hash of the item's identity and version.
+func (i Item) hash() uint64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprintf(h, "%q %q %d", i.Kind, i.Key, i.Version)
+	return h.Sum64()
+}
+
 func (i Item) toProto() *peerpb.Item {
 	return &peerpb.Item{Kind: string(i.Kind), Key: i.Key, Version: i.Version, ExpiresMicros: i.Expires.UnixMicro(), Value: i.Value}
 }
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -10,6 +10,10 @@
 //	for _, m := range peers.Members() { ... }
 //	peers.Stop()
 //
+// Peers whose hash over all items differs exchange a sample of all items, so that
+// an instance that was cut off or has just started gets those that it missed.
+// While there are items, the rounds are at most itemInterval apart.
+//
 // Each round exchanges digests with a few peers. The size of a digest is bounded
 // and does not depend on the size of the fleet: recent changes come first, then
 // the members in round-robin order. Only rounds 1, 4, 16 and so on ask one peer
@@ -243,18 +247,23 @@
 
 func (p *Peers) loop() {
 	defer close(p.loopDone)
-	ticker := time.NewTicker(p.cfg.Interval)
+	ticker := time.NewTicker(min(p.cfg.Interval, itemInterval))
 	defer ticker.Stop()
+	next := time.Now().Add(p.cfg.Interval) // regular round
 	for {
 		select {
 		case <-p.ctx.Done():
 			return
 		case <-p.announcements:
 			p.sendNow()
-		case <-ticker.C:
+		case now := <-ticker.C:
+			if now.Before(next) && p.gossip.hash() == 0 {
+				continue
+			}
+			next = now.Add(p.cfg.Interval)
 			p.heartbeat.Add(1)
 			p.table.expire()
-			p.conns.closeIdle(time.Now().Add(-p.cfg.IdleTimeout))
+			p.conns.closeIdle(now.Add(-p.cfg.IdleTimeout))
 			p.round(p.cfg.Fanout, &p.calls)
 		}
 	}
@@ -269,8 +278,12 @@
 	if len(outdated) == 0 {
 		outdated = members
 	}
-	for _, address := range p.selector.randomAddresses(announceFanout, outdated, p.cfg.Self.Address) {
-		p.calls.Go(func() { p.exchange(address, false) })
+	addresses := p.selector.randomAddresses(announceFanout, outdated, p.cfg.Self.Address)
+	for _, address := range addresses {
+		p.startExchange(address, false, &p.calls)
+	}
+	if len(addresses) > 0 && p.gossip.mustAnnounce() { // a digest holds only some of the items
+		p.Announce()
 	}
 }
 
@@ -280,23 +293,34 @@
 func (p *Peers) round(n int, wait *sync.WaitGroup) {
 	addresses, full := p.selector.selectAddresses(n, p.table.members(), p.cfg.Self.Address)
 	for i, address := range addresses {
-		wait.Go(func() { p.exchange(address, full && i == 0) })
+		p.startExchange(address, full && i == 0, wait)
 	}
 }
 
-// exchange sends a digest to one peer and merges its reply. With full, it asks
-// the peer for all members. If the exchange fails, the peer is suspected.
-func (p *Peers) exchange(address string, full bool) {
+// startExchange starts an exchange with one peer. With full, it asks the peer for
+// all members.
+func (p *Peers) startExchange(address string, full bool, wait *sync.WaitGroup) {
 	digest, err := p.newDigest(address, maxDigestMembers, full)
 	if err != nil {
 		return
 	}
-	err = p.call(address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
-		reply, err := client.Exchange(ctx, digest)
-		if err != nil {
+	wait.Go(func() { p.exchange(address, digest) })
+}
+
+// exchange sends a digest to one peer and merges its reply. If the exchange fails,
+// the peer is suspected. If the peer still lacks items after it, they are sent in a
+// second digest.
+func (p *Peers) exchange(address string, digest *peerpb.Digest) {
+	err := p.call(address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
+		reply, err := p.exchangeDigest(ctx, client, digest)
+		if err != nil || reply.GetItemsHash() == p.gossip.hash() {
 			return err
 		}
-		return p.receive(reply)
+		if digest, err = p.newSyncDigest(address, 0); err != nil {
+			return err
+		}
+		_, err = p.exchangeDigest(ctx, client, digest)
+		return err
 	})
 	if p.ctx.Err() != nil {
 		return
@@ -309,9 +333,28 @@
 	p.count("peer_exchanges")
 }
 
+// exchangeDigest sends a digest, merges the reply and returns it.
+func (p *Peers) exchangeDigest(ctx context.Context, client peerpb.DRPCPeerClient, digest *peerpb.Digest) (*peerpb.Digest, error) {
+	reply, err := client.Exchange(ctx, digest)
+	if err != nil {
+		return nil, err
+	}
+	return reply, p.receive(reply)
+}
+
+// newSyncDigest returns a signed digest with a sample of all items.
+func (p *Peers) newSyncDigest(receiver string, members int) (*peerpb.Digest, error) {
+	return p.signDigest(receiver, members, p.gossip.sample(maxSyncBytes), false)
+}
+
 // newDigest returns a signed digest for receiver with up to the given number of
 // members.
 func (p *Peers) newDigest(receiver string, members int, full bool) (*peerpb.Digest, error) {
+	return p.signDigest(receiver, members, p.gossip.selectItems(maxDigestItems, maxDigestItemBytes, p.table.size()), full)
+}
+
+// signDigest returns a signed digest with the items.
+func (p *Peers) signDigest(receiver string, members int, items []*peerpb.Item, full bool) (*peerpb.Digest, error) {
 	d := &peerpb.Digest{
 		Fleet:    p.cfg.Fleet,
 		Sender:   p.self().toProto(),
@@ -323,7 +366,8 @@
 	for _, m := range p.table.selectMembers(members, receiver) {
 		d.Members = append(d.Members, m.toProto())
 	}
-	d.Items = p.gossip.selectItems(maxDigestItems, maxDigestItemBytes, p.table.size())
+	d.Items = items
+	d.ItemsHash = p.gossip.hash()
 	var err error
 	d.Mac, err = sign(p.cfg.Key, d)
 	return d, err
@@ -335,7 +379,7 @@
 		return err
 	}
 	sender := memberFromProto(d.GetSender())
-	if !sender.valid() || len(d.GetMembers()) > maxFullMembers || len(d.GetItems()) > maxDigestItems {
+	if !sender.valid() || len(d.GetMembers()) > maxFullMembers || len(d.GetItems()) > maxReceivedItems {
 		p.count("peer_damaged_messages")
 		return errMalformed
 	}
@@ -422,5 +466,8 @@
 	if d.GetFull() {
 		members = maxFullMembers
 	}
+	if d.GetItemsHash() != s.peers.gossip.hash() {
+		return s.peers.newSyncDigest(d.GetSender().GetAddress(), members)
+	}
 	return s.peers.newDigest(d.GetSender().GetAddress(), members, false)
 }
