Hold back requests under which two upstreams have crashed, at every instance

Cause: on the path that the platform runs, an attempt's failure was only ever blamed on the upstream. Nothing remembered the request, so each repeat was a new request, and a retry in the same call ended a second upstream at once. The class: knowledge that must outlive a request and be shared by the fleet was kept in the state of one attempt.

A request is now known by a hash of its caller, target and body. When an upstream closes the connection before its answer is complete, is not leaving, and its port refuses connections, the request becomes a suspect. After two processes it is held back, before each send, for 2 minutes after the last crash, doubled by each further one. An answer acquits it, and a request that was answered in the last 30 s is no suspect. Crash reports go to all instances as urgent gossip, acquittals with the rounds; an instance that starts or was cut off gets what it missed. Refused at once as not run, with the rest of the hold as Retry-After.

--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -63,6 +63,8 @@
 	Reservations nutmegpeer.ReservationHandler
 	// OnPanic is called when the handler of a peer's call has panicked.
 	OnPanic func(method string, cause any, stack []byte)
+	// Items are the kinds of gossip items that instances exchange.
+	Items map[nutmegpeer.ItemKind]nutmegpeer.ItemRule
 	// HomesPerDomain is the number of instances per failure domain that lease a
 	// workspace's tokens; all others reserve tokens there.
 	HomesPerDomain int
@@ -186,7 +188,10 @@
 	BudgetShards int    `json:"budget_shards"`
 }
 
-var errShardsUnknown = errors.New("number of budget shards is not known yet")
+var (
+	errShardsUnknown = errors.New("number of budget shards is not known yet")
+	errNoPeers       = errors.New("the fleet's key is not known yet")
+)
 
 // startPeers reads the fleet agreement, writing it if there is none, and starts
 // serving peers.
@@ -228,6 +233,9 @@
 		Reservations: r.cfg.Reservations,
 		Metrics:      r.cfg.Metrics,
 	})
+	for kind, rule := range r.cfg.Items {
+		peers.Gossip().Register(kind, rule)
+	}
 	if err := peers.Start(l); err != nil {
 		r.cfg.Log.WithField("event", "peers_unavailable").WithError(err).Error("cannot start serving peers")
 		return false
@@ -258,10 +266,43 @@
 	}
 	if !slices.Equal(list, r.others()) {
 		r.known.Store(&list)
+		r.contactPeers(list)
 		r.cfg.OnChange(len(list) + 1)
 	}
 }
 
+// contactPeers makes the instances in the list known to the exchange of gossip.
+func (r *Roster) contactPeers(list []nutmegview.Instance) {
+	peers := r.peers.Load()
+	if peers == nil {
+		return
+	}
+	addresses := make([]string, 0, len(list))
+	for _, i := range list {
+		addresses = append(addresses, i.PeerAddress)
+	}
+	peers.SetSeeds(addresses)
+	peers.Announce()
+}
+
+// PutItem spreads a gossip item to all instances. It returns errNoPeers while this
+// instance does not know the fleet's key yet.
+func (r *Roster) PutItem(i nutmegpeer.Item) error {
+	peers := r.peers.Load()
+	if peers == nil {
+		return errNoPeers
+	}
+	return peers.Gossip().Put(i)
+}
+
+// SyncItems exchanges gossip items with some instances now, after this one may
+// have missed some.
+func (r *Roster) SyncItems() {
+	if peers := r.peers.Load(); peers != nil {
+		peers.Announce()
+	}
+}
+
 // reachable returns the other instances that are not being skipped for failed
 // calls, in random order.
 func (r *Roster) reachable() []*nutmegview.Instance {
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -33,5 +33,8 @@
 	// commits larger and conflicts likelier; fewer require more commits.
 	budgetsPerShard     = 5
 	fetchConfigInterval = 600 * time.Millisecond
+	maxCrashReports     = 512
+	maxAcquittals       = 512
+	maxSuspectItemBytes = 3 << 10                // of a gossip item about suspects
 	feedMargin          = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
 )
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -38,6 +38,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegretry"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
@@ -90,6 +91,7 @@
 	pool             *nutmegconn.Pool
 	retries          *nutmegretry.Budget
 	meter            *nutmegmeter.Meter
+	suspects         *nutmegsuspect.Tracker
 	relay            *nutmegrelay.Relay
 
 	callers       *nutmegserve.Server
@@ -127,6 +129,7 @@
 	e.traffic = &nutmegconn.Traffic{}
 	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.overload = &overload{entry: e, done: make(chan struct{})}
+	e.buildSuspects()
 	e.buildStore()
 	e.buildTraffic()
 	return e, nil
@@ -162,7 +165,7 @@
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
 		Client: e.client, Writer: e.writer, Dial: e.dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
-		Budgets: budgetServer{e}, Reservations: reservationServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: func(shards int) { e.meter.Open(shards) },
+		Budgets: budgetServer{e}, Reservations: reservationServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: e.peersStarted, Items: e.suspectItems(),
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
 			Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps,
@@ -187,7 +190,7 @@
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
 	e.relay = nutmegrelay.New(nutmegrelay.Config{
-		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view,
+		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects,
 		Instances: e.roster.Count, OnDecision: e.relayDecided, Elapsed: e.uptime,
 	})
 	e.view.OnConfig(e.placer.SetConfig)
@@ -195,6 +198,13 @@
 	e.view.OnUpstreams(e.placer.SetUpstreams)
 }
 
+// peersStarted continues the start once the fleet's key and number of shards are
+// known.
+func (e *Entry) peersStarted(shards int) {
+	e.meter.Open(shards)
+	e.resendReports()
+}
+
 // uptime returns the monotonic time since the instance was created.
 func (e *Entry) uptime() time.Duration {
 	return time.Since(e.start)
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -30,6 +30,7 @@
 	e.count("store_state_changes")
 	if up {
 		e.event("store_regained").Info("store is reachable again")
+		e.roster.SyncItems()
 		return
 	}
 	e.event("store_lost").Warn("store is unreachable")
@@ -127,8 +128,8 @@
 	if d.Err != nil {
 		entry = entry.WithError(d.Err)
 	}
-	if d.Content != "" {
-		entry = entry.WithField("content", d.Content)
+	if d.Content != nil {
+		entry = entry.WithField("content", d.Content.String())
 	}
 	entry.Info("request progress")
 }
--- /dev/null
+++ b/internal/instance/nutmegentry/suspects.go
@@ -0,0 +1,107 @@
+package nutmegentry
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
+)
+
+// The kinds of gossip items about suspect requests.
+const (
+	itemCrashReport nutmegpeer.ItemKind = "crash_reports"
+	itemAcquittal   nutmegpeer.ItemKind = "acquittals"
+)
+
+func (e *Entry) buildSuspects() {
+	e.suspects = nutmegsuspect.NewTracker(nutmegsuspect.Config{
+		Reporter: e.incarnation, OnReport: e.sendReport, OnAcquittal: e.sendAcquittal, OnVerdict: e.verdictChanged,
+	})
+}
+
+// suspectItems returns the rules of the gossip items about suspects.
+func (e *Entry) suspectItems() map[nutmegpeer.ItemKind]nutmegpeer.ItemRule {
+	return map[nutmegpeer.ItemKind]nutmegpeer.ItemRule{
+		itemCrashReport: {MaxItems: maxCrashReports, MaxBytes: maxSuspectItemBytes, Urgent: true, OnItem: e.receiveReport},
+		itemAcquittal:   {MaxItems: maxAcquittals, MaxBytes: maxSuspectItemBytes, OnItem: e.receiveAcquittal},
+	}
+}
+
+// sendReport sends a report of this instance to all others.
+func (e *Entry) sendReport(r nutmegsuspect.Report) {
+	e.event("crash_report").WithFields(logrus.Fields{"process": r.Process, "suspects": len(r.Keys)}).Warn("an upstream crashed while requests may have been running there")
+	e.putItem(itemCrashReport, fmt.Sprintf("%s/%s", r.Process, r.Reporter), len(r.Keys), r)
+}
+
+// resendReports sends the reports that were made before the fleet's key was known.
+func (e *Entry) resendReports() {
+	for _, r := range e.suspects.Reports() {
+		e.sendReport(r)
+	}
+}
+
+// sendAcquittal sends an acquittal by this instance to all others.
+func (e *Entry) sendAcquittal(a nutmegsuspect.Acquittal) {
+	e.count("suspects_acquitted")
+	e.event("suspect_acquitted").WithFields(logrus.Fields{"content": a.Key.String(), "processes": a.Processes}).Info("an upstream answered a suspect request")
+	e.putItem(itemAcquittal, fmt.Sprintf("%s/%s", a.Key, e.incarnation), len(a.Processes), a)
+}
+
+// putItem spreads a value as a gossip item. A value that replaces another one has a
+// higher version.
+func (e *Entry) putItem(kind nutmegpeer.ItemKind, key string, version int, value any) {
+	text, err := json.Marshal(value)
+	if err == nil {
+		err = e.roster.PutItem(nutmegpeer.Item{
+			Kind: kind, Key: key, Version: uint64(version), Expires: time.Now().Add(nutmegsuspect.ReportLifetime), Value: text,
+		})
+	}
+	if err != nil {
+		e.count("suspect_items_not_sent")
+		e.event("suspect_item_not_sent").WithFields(logrus.Fields{"kind": kind, "key": key}).WithError(err).Warn("other instances do not learn of a suspect now")
+	}
+}
+
+// receiveReport adds another instance's report.
+func (e *Entry) receiveReport(i nutmegpeer.Item) {
+	var r nutmegsuspect.Report
+	if err := json.Unmarshal(i.Value, &r); err != nil {
+		e.suspectItemUnreadable(i, err)
+		return
+	}
+	e.event("crash_report_received").WithFields(logrus.Fields{
+		"process": r.Process, "reporter": r.Reporter, "suspects": len(r.Keys), "age_ms": time.Since(r.EndedAt).Milliseconds(),
+	}).Info("another instance reported a crash")
+	e.suspects.MergeReport(r)
+}
+
+// receiveAcquittal applies another instance's acquittal.
+func (e *Entry) receiveAcquittal(i nutmegpeer.Item) {
+	var a nutmegsuspect.Acquittal
+	if err := json.Unmarshal(i.Value, &a); err != nil {
+		e.suspectItemUnreadable(i, err)
+		return
+	}
+	e.suspects.MergeAcquittal(a)
+}
+
+func (e *Entry) suspectItemUnreadable(i nutmegpeer.Item, err error) {
+	e.count("suspect_items_unreadable")
+	e.event("suspect_item_unreadable").WithFields(logrus.Fields{"kind": i.Kind, "key": i.Key}).WithError(err).Error("cannot decode what another instance says of a suspect")
+}
+
+// verdictChanged logs that requests with a key are held back, or no longer.
+func (e *Entry) verdictChanged(v nutmegsuspect.Verdict) {
+	entry := e.event("suspect_verdict").WithFields(logrus.Fields{"content": v.Key.String(), "crashes": v.Crashes})
+	if v.Until.IsZero() {
+		e.count("suspects_released")
+		entry.Info("requests are no longer held back")
+		return
+	}
+	e.count("suspects_held")
+	entry.WithField("until", v.Until.UTC()).Warn("upstreams crashed under requests; holding them back")
+}
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -120,6 +120,7 @@
 	ReasonNoUpstream         Reason = "no_upstream"
 	ReasonOverloaded         Reason = "overloaded"
 	ReasonRefusedByUpstreams Reason = "refused_by_upstreams"
+	ReasonQuarantined        Reason = "quarantined"
 	ReasonDeadlineExceeded   Reason = "deadline_passed"
 	ReasonUpstreamFailed     Reason = "upstream_failed"
 	ReasonCallerLeft         Reason = "caller_left"
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -12,7 +12,6 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegevent"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
-	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
@@ -64,6 +63,9 @@
 		if ctx.Err() != nil {
 			return e.interrupted(ctx)
 		}
+		if refusal := e.checkHold(); refusal != nil {
+			return e.notPlaced(refusal)
+		}
 		retry := e.sent > 0
 		if retry && !e.takeRetry() {
 			return e.giveUp()
@@ -148,9 +150,9 @@
 	return &nutmegcall.Refusal{Reason: nutmegcall.ReasonCallerLeft, Ran: e.ran, Detail: "the caller closed its connection"}
 }
 
-// notPlaced ends a call for which the placer found no upstream. It returns the
-// placer's refusal, which states that the call has not run, only if that is true
-// of the call's earlier attempts as well.
+// notPlaced ends a call that is not sent to an upstream now. It returns the refusal,
+// which states that the call has not run, only if that is true of the call's
+// earlier attempts as well.
 func (e *exchange) notPlaced(refusal *nutmegcall.Refusal) *nutmegcall.Refusal {
 	if e.ran != nutmegcall.NotRun || e.headerSent {
 		return e.fail(refusal)
@@ -317,17 +319,6 @@
 	e.relay.cfg.Placer.Done(p, result, e.relay.cfg.Elapsed())
 }
 
-// checkUpstream records whether the upstream's process has ended, after it closed
-// the connection before its response was complete.
-func (e *exchange) checkUpstream(ctx context.Context, p *nutmegplace.Placement) {
-	if !e.relay.cfg.Pool.HasEnded(ctx, p.Upstream.Address) {
-		return
-	}
-	e.relay.cfg.OnDecision(e.call, Decision{
-		Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Content: nutmegsuspect.ContentKey(e.call),
-	})
-}
-
 // handleRefusal ends an attempt that the upstream did not run.
 func (e *exchange) handleRefusal(p *nutmegplace.Placement, resp *nutmegconn.Response, info ResponseInfo) (attemptResult, error) {
 	result := nutmegplace.ResultBusy
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -80,6 +80,18 @@
 	Reserve(ctx context.Context, call *nutmegcall.Call) (Reservation, *nutmegcall.Refusal)
 }
 
+// Suspects tracks requests under which upstreams crash.
+type Suspects interface {
+	// Held reports whether a call is held back, because upstreams crashed under
+	// such calls.
+	Held(call *nutmegcall.Call) (nutmegsuspect.Hold, bool)
+	// UpstreamEnded records that an upstream's process ended while the call may
+	// have been running there.
+	UpstreamEnded(call *nutmegcall.Call, u nutmegview.Upstream)
+	// Answered records that an upstream has answered the call.
+	Answered(call *nutmegcall.Call)
+}
+
 // Decision is a step in the handling of a call, for the event log.
 type Decision struct {
 	Kind     DecisionKind
@@ -87,9 +99,9 @@
 	Attempt  int // number of the attempt, starting at 1
 	Detail   string
 	Err      error
-	// Content identifies requests with the same content; only of
+	// Content identifies requests with the same content; nil except in a
 	// DecisionUpstreamEnded.
-	Content nutmegsuspect.Key
+	Content *nutmegsuspect.Key
 }
 
 // DecisionKind is the kind of a Decision.
@@ -112,6 +124,7 @@
 	Budget     Budget
 	Retries    *nutmegretry.Budget
 	View       *nutmegview.View
+	Suspects   Suspects                             // of this instance alone when nil
 	Instances  func() int                           // number of instances that share the retry budget; 1 when nil
 	OnDecision func(c *nutmegcall.Call, d Decision) // called for each decision; may be nil
 	Now        func() time.Time                     // time.Now when nil
@@ -135,6 +148,9 @@
 	if cfg.OnDecision == nil {
 		cfg.OnDecision = func(*nutmegcall.Call, Decision) {}
 	}
+	if cfg.Suspects == nil {
+		cfg.Suspects = nutmegsuspect.NewTracker(nutmegsuspect.Config{Now: cfg.Now})
+	}
 	if cfg.Instances == nil {
 		cfg.Instances = func() int { return 1 }
 	}
@@ -153,6 +169,9 @@
 	if refusal := r.checkBound(call); refusal != nil {
 		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
 	}
+	if refusal := e.checkHold(); refusal != nil {
+		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
+	}
 	if call.Metered && call.Prompt.MaxTokens() > 0 {
 		reservation, refusal := r.cfg.Budget.Reserve(ctx, call)
 		if refusal != nil {
--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -67,9 +67,8 @@
 		return e.forwardChunks(ctx, p, resp, body)
 	}
 	e.finish(ctx, p, resultOf(resp.StatusCode))
-	e.ran = nutmegcall.HasRun
+	e.answered()
 	e.outcome.Status = resp.StatusCode
-	e.outcome.Reason = nutmegcall.ReasonAnswered
 	if err := e.sink.SendResponse(resp.StatusCode, resp.Header, body); err != nil {
 		e.outcome.Detail = "the caller did not take the answer: " + err.Error()
 	}
@@ -124,9 +123,8 @@
 		e.outcome.Detail = readErr.Error()
 		return attemptDone, nil
 	}
-	e.ran = nutmegcall.HasRun
+	e.answered()
 	e.finish(ctx, p, resultOf(resp.StatusCode))
-	e.outcome.Reason = nutmegcall.ReasonAnswered
 	return attemptDone, nil
 }
 
@@ -210,9 +208,15 @@
 	}
 	e.sendHeader(resp)
 	e.finish(ctx, p, nutmegplace.ResultAnswered)
-	e.ran = nutmegcall.HasRun
+	e.answered()
 	e.outcome.Status = resp.StatusCode
 	e.outcome.Events = e.events.Events
-	e.outcome.Reason = nutmegcall.ReasonAnswered
 	return attemptDone, nil
 }
+
+// answered records that the upstream has answered the call completely.
+func (e *exchange) answered() {
+	e.ran = nutmegcall.HasRun
+	e.outcome.Reason = nutmegcall.ReasonAnswered
+	e.relay.cfg.Suspects.Answered(e.call)
+}
--- /dev/null
+++ b/internal/traffic/nutmegrelay/suspects.go
@@ -0,0 +1,37 @@
+package nutmegrelay
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
+)
+
+// checkHold refuses a call that is held back because upstreams crashed under it.
+func (e *exchange) checkHold() *nutmegcall.Refusal {
+	hold, held := e.relay.cfg.Suspects.Held(e.call)
+	if !held {
+		return nil
+	}
+	return &nutmegcall.Refusal{
+		Reason: nutmegcall.ReasonQuarantined, RetryAfter: hold.Left,
+		Detail: fmt.Sprintf("%d upstreams crashed under requests with key %s", hold.Crashes, hold.Key),
+	}
+}
+
+// checkUpstream records the call as a suspect if its upstream has crashed, after
+// the upstream closed the connection before its response was complete.
+func (e *exchange) checkUpstream(ctx context.Context, p *nutmegplace.Placement) {
+	cfg := e.relay.cfg
+	if !cfg.Pool.HasEnded(ctx, p.Upstream.Address) {
+		return
+	}
+	key := nutmegsuspect.ContentKey(e.call)
+	cfg.OnDecision(e.call, Decision{Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Content: &key})
+	// An upstream that leaves ends as planned. Its entry may go before it does.
+	if u, listed := cfg.View.Upstreams().ByID[p.Upstream.ID]; listed && !u.Leaving {
+		cfg.Suspects.UpstreamEnded(e.call, p.Upstream)
+	}
+}
--- /dev/null
+++ b/internal/traffic/nutmegrelay/suspects_test.go
@@ -0,0 +1,109 @@
+package nutmegrelay
+
+import (
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
+)
+
+// crasher ends a server's process as soon as it gets a request.
+type crasher struct {
+	once   sync.Once
+	server *httptest.Server
+}
+
+func (c *crasher) ServeHTTP(http.ResponseWriter, *http.Request) {
+	c.once.Do(func() {
+		_ = c.server.Listener.Close()
+		c.server.CloseClientConnections()
+	})
+}
+
+// fleetWithCrashes returns a fleet of n upstreams of which each ends at its first
+// request.
+func fleetWithCrashes(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := newFleet(t, make([]http.HandlerFunc, n)...)
+	byID := maps.Clone(f.relay.cfg.View.Upstreams().ByID)
+	for id, u := range byID {
+		c := &crasher{}
+		c.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			f.mu.Lock()
+			f.requests = append(f.requests, string(id))
+			f.mu.Unlock()
+			c.ServeHTTP(w, r)
+		}))
+		t.Cleanup(c.server.Close)
+		u.Address = c.server.Listener.Addr().String()
+		byID[id] = u
+	}
+	f.relay.cfg.View.SetUpstreams(2, byID)
+	f.relay.cfg.Placer.SetUpstreams(f.relay.cfg.View.Upstreams())
+	return f
+}
+
+// sends returns the number of requests that upstreams have received.
+func (f *fleet) sends() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.requests)
+}
+
+// TestCrashingRequestEndsTwoUpstreamsAtMost guards against attempts of one call, and
+// its repeats, that end one upstream after the other.
+func TestCrashingRequestEndsTwoUpstreamsAtMost(t *testing.T) {
+	f := fleetWithCrashes(t, 5)
+	route := nutmegview.Route{RetryPolicy: nutmegview.Idempotent, MaxUpstreams: 4}
+	_, first := f.relay.Serve(t.Context(), newCall(route), &recorder{})
+	_, repeat := f.relay.Serve(t.Context(), newCall(route), &recorder{})
+	if diff := cmp.Diff(2, f.sends()); diff != "" {
+		t.Errorf("sends (-want +got):\n%s", diff)
+	}
+	if first == nil || first.Ran != nutmegcall.MayHaveRun {
+		t.Errorf("refusal of the first call: %v; want one that may have run", first)
+	}
+	if repeat == nil || repeat.Reason != nutmegcall.ReasonQuarantined || repeat.Ran != nutmegcall.NotRun || repeat.RetryAfter < time.Minute {
+		t.Errorf("refusal of the repeat: %+v; want %q, not run, with the rest of the hold", repeat, nutmegcall.ReasonQuarantined)
+	}
+}
+
+// TestPlannedEndMakesNoSuspect guards against requests that are held back because
+// upstreams leave as planned.
+func TestPlannedEndMakesNoSuspect(t *testing.T) {
+	f := fleetWithCrashes(t, 2)
+	byID := maps.Clone(f.relay.cfg.View.Upstreams().ByID)
+	for id, u := range byID {
+		u.Leaving = true
+		byID[id] = u
+	}
+	f.relay.cfg.View.SetUpstreams(3, byID)
+	_, refusal := f.relay.Serve(t.Context(), newCall(idempotent), &recorder{})
+	if sends := f.sends(); refusal == nil || sends != 2 {
+		t.Fatalf("refusal %v after %d sends; want one after two", refusal, sends)
+	}
+	if hold, held := f.relay.cfg.Suspects.Held(newCall(idempotent)); held {
+		t.Errorf("held back: %+v", hold)
+	}
+}
+
+// TestBrokenAnswerOfLivingUpstreamMakesNoSuspect guards against requests that are
+// held back because of a bad network or an upstream that fails now and then.
+func TestBrokenAnswerOfLivingUpstreamMakesNoSuspect(t *testing.T) {
+	f := newFleet(t, truncated("part"), truncated("part"))
+	for range 3 {
+		if _, refusal := f.relay.Serve(t.Context(), newCall(idempotent), &recorder{}); refusal == nil || refusal.Reason == nutmegcall.ReasonQuarantined {
+			t.Errorf("refusal: %v; want one for another reason than %q", refusal, nutmegcall.ReasonQuarantined)
+		}
+	}
+}
+
+var _ Suspects = (*nutmegsuspect.Tracker)(nil)
--- /dev/null
+++ b/internal/traffic/nutmegsuspect/defaults.go
@@ -0,0 +1,26 @@
+package nutmegsuspect
+
+import "time"
+
+const (
+	// crashesToHold is the number of processes that must end under a request
+	// before it is held back. One may have ended because of another request.
+	crashesToHold = 2
+	// firstHold is how long a request is held back after the last crash that led
+	// to it. Each further crash doubles the time, up to maxHold.
+	firstHold = 2 * time.Minute
+	maxHold   = 32 * time.Minute
+
+	// ReportLifetime is how long a crash counts.
+	ReportLifetime = 50 * time.Minute
+
+	maxReportKeys = 64   // requests in one report
+	maxRecords    = 4096 // suspects that are remembered
+
+	forgetInterval = time.Minute // between two removals of old records
+
+	// answerLifetime is the shortest time for which an answered request is
+	// remembered as sound.
+	answerLifetime = 30 * time.Second
+	maxAnswers     = 4096 // answered requests that are remembered within answerLifetime
+)
--- a/internal/traffic/nutmegsuspect/key.go
+++ b/internal/traffic/nutmegsuspect/key.go
@@ -4,14 +4,14 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"fmt"
 
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 )
 
-const keyBytes = 16 // of a hash
-
-// Key identifies what several requests have in common, without revealing it.
-type Key string
+// Key identifies what several requests have in common, without revealing it. It
+// is a truncated hash.
+type Key [16]byte
 
 // ContentKey returns the key of all requests with the caller, the target and the
 // body of a call.
@@ -29,5 +29,25 @@
 		_, _ = h.Write(size[:])
 		_, _ = h.Write(field)
 	}
-	return Key(hex.EncodeToString(h.Sum(nil)[:keyBytes]))
+	return Key(h.Sum(nil)[:len(Key{})])
+}
+
+// String returns the key in hexadecimal, as in logs and messages.
+func (k Key) String() string {
+	return hex.EncodeToString(k[:])
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (k Key) MarshalText() ([]byte, error) {
+	return []byte(k.String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (k *Key) UnmarshalText(text []byte) error {
+	raw, err := hex.DecodeString(string(text))
+	if err != nil || len(raw) != len(k) {
+		return fmt.Errorf("key %q is not %d bytes in hexadecimal", text, len(k))
+	}
+	*k = Key(raw)
+	return nil
 }
--- /dev/null
+++ b/internal/traffic/nutmegsuspect/tracker_test.go
@@ -0,0 +1,211 @@
+package nutmegsuspect
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// fixture is a tracker with a clock of its own that records what it sends.
+type fixture struct {
+	*Tracker
+	now        time.Time
+	reports    []Report
+	acquittals []Acquittal
+	verdicts   []Verdict
+}
+
+func newFixture(name string) *fixture {
+	f := &fixture{now: time.Unix(1_000_000, 0)}
+	f.Tracker = NewTracker(Config{
+		Reporter: nutmegid.Incarnation(name), Now: func() time.Time { return f.now },
+		OnReport:    func(r Report) { f.reports = append(f.reports, r) },
+		OnAcquittal: func(a Acquittal) { f.acquittals = append(f.acquittals, a) },
+		OnVerdict:   func(v Verdict) { f.verdicts = append(f.verdicts, v) },
+	})
+	return f
+}
+
+// held reports whether a call is held back.
+func (f *fixture) held(c *nutmegcall.Call) bool {
+	_, held := f.Held(c)
+	return held
+}
+
+func newCall(target string) *nutmegcall.Call {
+	return &nutmegcall.Call{Workspace: "w", Method: "GET", Host: "h", Target: target}
+}
+
+// process returns the n-th process of an upstream.
+func process(id nutmegid.Upstream, n int64) nutmegview.Upstream {
+	return nutmegview.Upstream{ID: id, StartedAt: time.UnixMilli(n)}
+}
+
+func TestRequestIsHeldAfterTwoProcessesEnded(t *testing.T) {
+	f := newFixture("one")
+	c := newCall("/a")
+	var got []bool
+	for n := range int64(3) {
+		got = append(got, f.held(c))
+		f.UpstreamEnded(c, process("u", n))
+		f.UpstreamEnded(c, process("u", n)) // a second attempt at the same process
+	}
+	if diff := cmp.Diff([]bool{false, false, true}, got); diff != "" {
+		t.Errorf("held before each crash (-want +got):\n%s", diff)
+	}
+	if f.held(newCall("/b")) {
+		t.Errorf("another request is held back")
+	}
+}
+
+// TestCrashesSeenByDifferentInstancesCount guards against instances that each see
+// one crash and never hold the request back.
+func TestCrashesSeenByDifferentInstancesCount(t *testing.T) {
+	one, two, three := newFixture("one"), newFixture("two"), newFixture("three")
+	c := newCall("/a")
+	one.UpstreamEnded(c, process("u", 1))
+	two.UpstreamEnded(c, process("v", 1))
+	for _, f := range []*fixture{one, two} {
+		for range 2 { // a message may arrive twice
+			three.MergeReport(f.reports[0])
+		}
+	}
+	if !three.held(c) {
+		t.Errorf("a request under which two processes ended is not held back at an instance that saw neither")
+	}
+	other := newFixture("four")
+	other.MergeReport(one.reports[0])
+	other.MergeReport(Report{Process: ProcessOf(process("u", 1)), Reporter: "two", EndedAt: one.now, Keys: []Key{ContentKey(c)}})
+	if other.held(c) {
+		t.Errorf("one process counts twice because two instances reported it")
+	}
+}
+
+// TestAnswerAcquitsInTheWholeFleet guards against sound requests that are held back
+// because they happened to run where others crashed upstreams.
+func TestAnswerAcquitsInTheWholeFleet(t *testing.T) {
+	one, two, late := newFixture("one"), newFixture("two"), newFixture("late")
+	c := newCall("/a")
+	one.UpstreamEnded(c, process("u", 1))
+	one.UpstreamEnded(c, process("u", 2))
+	for _, r := range one.reports {
+		two.MergeReport(r)
+	}
+	if !two.held(c) {
+		t.Fatal("the request is not held back")
+	}
+	one.Answered(c)
+	two.MergeAcquittal(one.acquittals[0])
+	late.MergeAcquittal(one.acquittals[0]) // overtakes the reports
+	for _, r := range one.reports {
+		late.MergeReport(r)
+	}
+	for _, f := range []*fixture{one, two, late} {
+		if f.held(c) {
+			t.Errorf("an acquitted request is held back")
+		}
+	}
+	two.UpstreamEnded(c, process("u", 3))
+	two.UpstreamEnded(c, process("u", 4))
+	if !two.held(c) {
+		t.Errorf("later crashes do not count")
+	}
+}
+
+// TestLatelyAnsweredRequestIsNoSuspect guards against popular requests that run
+// wherever an upstream crashes.
+func TestLatelyAnsweredRequestIsNoSuspect(t *testing.T) {
+	f := newFixture("one")
+	c := newCall("/popular")
+	f.Answered(c)
+	f.UpstreamEnded(c, process("u", 1))
+	f.UpstreamEnded(c, process("u", 2))
+	if f.held(c) || len(f.reports) > 0 {
+		t.Errorf("a request that was just answered is a suspect")
+	}
+	f.now = f.now.Add(2*answerLifetime + time.Second)
+	f.UpstreamEnded(c, process("u", 3))
+	f.UpstreamEnded(c, process("u", 4))
+	if !f.held(c) {
+		t.Errorf("an old answer still protects a request that crashes upstreams")
+	}
+}
+
+func TestHoldEndsAndDoubles(t *testing.T) {
+	f := newFixture("one")
+	c := newCall("/a")
+	f.UpstreamEnded(c, process("u", 1))
+	var holds []time.Duration
+	for n := range int64(5) {
+		f.UpstreamEnded(c, process("u", 2+n))
+		hold, _ := f.Held(c)
+		holds = append(holds, hold.Left)
+		f.now = hold.Until
+		if f.held(c) {
+			t.Errorf("held back after the end of the hold")
+		}
+	}
+	want := []time.Duration{firstHold, 2 * firstHold, 4 * firstHold, 8 * firstHold, maxHold}
+	if diff := cmp.Diff(want, holds); diff != "" {
+		t.Errorf("holds (-want +got):\n%s", diff)
+	}
+}
+
+// TestManySuspectsAreBounded guards against a caller that fills the memory, or
+// pushes out what is held back, with many different requests.
+func TestManySuspectsAreBounded(t *testing.T) {
+	f := newFixture("one")
+	guilty := newCall("/guilty")
+	f.UpstreamEnded(guilty, process("u", 1))
+	f.UpstreamEnded(guilty, process("u", 2))
+	for n := range int64(200) {
+		for k := range 100 {
+			f.UpstreamEnded(newCall(fmt.Sprint("/other", n, "/", k)), process("v", n))
+		}
+		f.now = f.now.Add(time.Millisecond)
+	}
+	if len(f.records) > maxRecords {
+		t.Errorf("%d records; want at most %d", len(f.records), maxRecords)
+	}
+	if !f.held(guilty) {
+		t.Errorf("many suspects have pushed out a request that is held back")
+	}
+	for _, r := range f.reports {
+		if len(r.Keys) > maxReportKeys {
+			t.Fatalf("a report of %d requests; want at most %d", len(r.Keys), maxReportKeys)
+		}
+	}
+	for n := range 3 * maxAnswers {
+		f.Answered(newCall(fmt.Sprint("/answered", n)))
+	}
+	if n := len(f.answers.current) + len(f.answers.previous); n > 2*maxAnswers {
+		t.Errorf("%d answers are remembered; want at most %d", n, 2*maxAnswers)
+	}
+	f.now = f.now.Add(ReportLifetime + forgetInterval)
+	f.UpstreamEnded(newCall("/last"), process("w", 1))
+	if diff := cmp.Diff(int64(1), f.suspects.Load()); diff != "" {
+		t.Errorf("suspects after the lifetime of a report (-want +got):\n%s", diff)
+	}
+}
+
+func FuzzReportNeverPanics(f *testing.F) {
+	f.Add(int64(1), []byte("0123456789abcdef0123456789abcdef"))
+	f.Fuzz(func(t *testing.T, ended int64, raw []byte) {
+		tracker := newFixture("one")
+		r := Report{Process: Process(raw), EndedAt: time.UnixMilli(ended)}
+		for len(raw) >= len(Key{}) {
+			r.Keys = append(r.Keys, Key(raw[:len(Key{})]))
+			raw = raw[len(Key{}):]
+		}
+		tracker.MergeReport(r)
+		if tracker.held(newCall("/a")) {
+			t.Errorf("a report of one process holds a request back")
+		}
+	})
+}
