Log the prompt parts and passed-on events of requests under which upstreams end

The logs could not tell requests that have a part of their prompts in common from load that lost its engines. request_upstream_ended now has a hash of each part but the last, and how many events had been passed on. No decision depends on it.

--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -128,8 +128,8 @@
 	if d.Err != nil {
 		entry = entry.WithError(d.Err)
 	}
-	if d.Content != nil {
-		entry = entry.WithField("content", d.Content.String())
+	if d.Kind == nutmegrelay.DecisionUpstreamEnded {
+		entry = entry.WithFields(logrus.Fields{"content": d.Content, "parts": d.Parts, "events": d.Events})
 	}
 	entry.Info("request progress")
 }
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -99,9 +99,12 @@
 	Attempt  int // number of the attempt, starting at 1
 	Detail   string
 	Err      error
-	// Content identifies requests with the same content; nil except in a
-	// DecisionUpstreamEnded.
-	Content *nutmegsuspect.Key
+	// Content and Parts identify requests with the same content and with the same
+	// parts of prompts; only of a DecisionUpstreamEnded.
+	Content nutmegsuspect.Key
+	Parts   []nutmegsuspect.Key
+	// Events is the number of events that were passed on before.
+	Events int64
 }
 
 // DecisionKind is the kind of a Decision.
--- a/internal/traffic/nutmegrelay/suspects.go
+++ b/internal/traffic/nutmegrelay/suspects.go
@@ -28,8 +28,10 @@
 	if !cfg.Pool.HasEnded(ctx, p.Upstream.Address) {
 		return
 	}
-	key := nutmegsuspect.ContentKey(e.call)
-	cfg.OnDecision(e.call, Decision{Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Content: &key})
+	cfg.OnDecision(e.call, Decision{
+		Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Events: e.events.Events,
+		Content: nutmegsuspect.ContentKey(e.call), Parts: nutmegsuspect.PartKeys(e.call),
+	})
 	// An upstream that leaves ends as planned. Its entry may go before it does.
 	if u, listed := cfg.View.Upstreams().ByID[p.Upstream.ID]; listed && !u.Leaving {
 		cfg.Suspects.UpstreamEnded(e.call, p.Upstream)
--- a/internal/traffic/nutmegsuspect/key.go
+++ b/internal/traffic/nutmegsuspect/key.go
@@ -19,6 +19,20 @@
 	return hashKey([]byte("content"), []byte(c.Workspace), []byte(c.Method), []byte(c.Host), []byte(c.Target), c.Body)
 }
 
+// PartKeys returns a key for each part of a call's prompt that other prompts may
+// share: all but the last.
+func PartKeys(c *nutmegcall.Call) []Key {
+	parts := c.Prompt.Parts
+	if len(parts) < 2 {
+		return nil
+	}
+	keys := make([]Key, 0, len(parts)-1)
+	for _, part := range parts[:len(parts)-1] {
+		keys = append(keys, hashKey([]byte("part"), []byte(c.Service), []byte(part.ID)))
+	}
+	return keys
+}
+
 // hashKey returns the key of a list of fields.
 func hashKey(fields ...[]byte) Key {
 	h := sha256.New()
--- a/internal/traffic/nutmegsuspect/key_test.go
+++ b/internal/traffic/nutmegsuspect/key_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
@@ -25,3 +28,26 @@
 		}
 	}
 }
+
+func TestPartKeysLeaveOutTheLastPart(t *testing.T) {
+	call := func(workspace nutmegid.Workspace, service nutmegview.Service, parts ...string) *nutmegcall.Call {
+		c := &nutmegcall.Call{Workspace: workspace, Service: service}
+		for _, id := range parts {
+			c.Prompt.Parts = append(c.Prompt.Parts, nutmegcall.Part{ID: id, Tokens: 10})
+		}
+		return c
+	}
+	base := PartKeys(call("w", "s", "system", "subject", "own"))
+	if diff := cmp.Diff(base, PartKeys(call("v", "s", "system", "subject", "other"))); diff != "" {
+		t.Errorf("keys of another workspace's prompt with the same parts (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff(base[:1], PartKeys(call("w", "s", "system", "subject"))); diff != "" {
+		t.Errorf("keys of a prompt that ends with the second part (-want +got):\n%s", diff)
+	}
+	if other := PartKeys(call("w", "r", "system", "own")); other[0] == base[0] {
+		t.Errorf("a part has the same key at another service")
+	}
+	if keys := PartKeys(call("w", "s", "own")); len(keys) > 0 {
+		t.Errorf("keys %v of a prompt that shares nothing", keys)
+	}
+}
