--- a/nutmegpeer/gossip_test.go
+++ b/nutmegpeer/gossip_test.go
@@ -16,11 +16,11 @@
 	}
 }
 
-// put puts n items, named after the peer and numbered from first, at a peer.
-func (f *testFleet) put(t *testing.T, peer, first, n int) {
+// put puts n items, named after the peer, at a peer.
+func (f *testFleet) put(t *testing.T, peer, n int) {
 	t.Helper()
 	for i := range n {
-		item := Item{Kind: urgentKind, Key: fmt.Sprint(peer, "-", first+i), Version: 1, Expires: time.Now().Add(time.Minute), Value: make([]byte, 100)}
+		item := Item{Kind: urgentKind, Key: fmt.Sprint(peer, "-", i), Version: 1, Expires: time.Now().Add(time.Minute), Value: make([]byte, 100)}
 		if err := f.peers[peer].Gossip().Put(item); err != nil {
 			t.Fatal(err)
 		}
@@ -46,8 +46,8 @@
 func TestManyUrgentItemsReachEveryPeer(t *testing.T) {
 	f := newTestFleet(t, 7, func(_ int, cfg *Config) { cfg.Interval = time.Hour })
 	f.registerUrgent()
-	f.put(t, 0, 0, 60)
-	f.put(t, 1, 0, 60)
+	f.put(t, 0, 60)
+	f.put(t, 1, 60)
 	f.awaitItems(t, firstPeers(7), 120)
 }
 
@@ -65,8 +65,8 @@
 		p.Announce()
 	}
 	f.split([]int{0, 1}, []int{2, 3, 4})
-	f.put(t, 0, 0, 30)
-	f.put(t, 2, 0, 30)
+	f.put(t, 0, 30)
+	f.put(t, 2, 30)
 	f.awaitItems(t, []int{0, 1, 2, 3, 4}, 30)
 	f.split(nil, nil)
 	f.awaitItems(t, firstPeers(5), 60)
@@ -81,7 +81,7 @@
 	}
 	f := newTestFleet(t, 4, adjust)
 	f.registerUrgent()
-	f.put(t, 0, 0, 100)
+	f.put(t, 0, 100)
 	f.awaitItems(t, firstPeers(4), 100)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
