Hold back prompt parts under which upstreams have crashed

Cause: crashes were held against whole requests only, and these have nothing whole in common, just one part of their prompts. The class: blame was kept for one identity of a request, where a request has several and any may be guilty.

Each part of a prompt but the last is now a suspect of its own, across workspaces, with three processes until it is held back. Of suspects with the same crashes the deepest part explains them for the parts before it, which more requests share, and for whole requests. Holds differ by up to a quarter between instances, so that not all try a suspect at once.

--- a/internal/instance/nutmegentry/suspects.go
+++ b/internal/instance/nutmegentry/suspects.go
@@ -33,8 +33,8 @@
 
 // sendReport sends a report of this instance to all others.
 func (e *Entry) sendReport(r nutmegsuspect.Report) {
-	e.event("crash_report").WithFields(logrus.Fields{"process": r.Process, "suspects": len(r.Keys)}).Warn("an upstream crashed while requests may have been running there")
-	e.putItem(itemCrashReport, fmt.Sprintf("%s/%s", r.Process, r.Reporter), len(r.Keys), r)
+	e.event("crash_report").WithFields(logrus.Fields{"process": r.Process, "suspects": len(r.Suspects)}).Warn("an upstream crashed while requests may have been running there")
+	e.putItem(itemCrashReport, fmt.Sprintf("%s/%s", r.Process, r.Reporter), len(r.Suspects), r)
 }
 
 // resendReports sends the reports that were made before the fleet's key was known.
@@ -48,7 +48,7 @@
 // make the same acquittal send the same item.
 func (e *Entry) sendAcquittal(a nutmegsuspect.Acquittal) {
 	e.count("suspects_acquitted")
-	e.event("suspect_acquitted").WithFields(logrus.Fields{"content": a.Key.String(), "process": a.Process}).Info("an upstream has answered a suspect request")
+	e.event("suspect_acquitted").WithFields(logrus.Fields{"key": a.Key, "part": a.Part, "process": a.Process}).Info("an upstream has answered a suspect request")
 	e.putItem(itemAcquittal, fmt.Sprintf("%s/%s", a.Key, a.Process), 1, a)
 }
 
@@ -75,7 +75,7 @@
 		return
 	}
 	e.event("crash_report_received").WithFields(logrus.Fields{
-		"process": r.Process, "reporter": r.Reporter, "suspects": len(r.Keys), "age_ms": time.Since(r.EndedAt).Milliseconds(),
+		"process": r.Process, "reporter": r.Reporter, "suspects": len(r.Suspects), "age_ms": time.Since(r.EndedAt).Milliseconds(),
 	}).Info("another instance reported a crash")
 	e.suspects.MergeReport(r)
 }
@@ -95,10 +95,10 @@
 	e.event("suspect_item_unreadable").WithFields(logrus.Fields{"kind": i.Kind, "key": i.Key}).WithError(err).Error("cannot decode what another instance says of a suspect")
 }
 
-// verdictChanged logs that requests with a key are held back, or no longer.
+// verdictChanged logs that the requests of a suspect are held back, or no longer.
 func (e *Entry) verdictChanged(v nutmegsuspect.Verdict) {
-	entry := e.event("suspect_verdict").WithFields(logrus.Fields{"content": v.Key.String(), "crashes": v.Crashes})
-	if v.Until.IsZero() {
+	entry := e.event("suspect_verdict").WithFields(logrus.Fields{"key": v.Key, "part": v.Part, "crashes": v.Crashes, "held": v.Held})
+	if !v.Held {
 		e.count("suspects_released")
 		entry.Info("requests are no longer held back")
 		return
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -43,7 +43,9 @@
 	ran        nutmegcall.Ran
 	info       ResponseInfo // of the latest response
 	events     nutmegevent.Splitter
-	headerSent bool // the response header was sent to the caller
+	headerSent bool          // the response header was sent to the caller
+	beganAt    time.Duration // first event of the latest attempt
+	begun      bool          // an upstream counts as having begun to answer
 	outcome    nutmegcall.Outcome
 }
 
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -88,7 +88,10 @@
 	// UpstreamEnded records that an upstream's process ended while the call may
 	// have been running there.
 	UpstreamEnded(call *nutmegcall.Call, u nutmegview.Upstream)
-	// Answered records that an upstream has answered the call.
+	// AnswerBegan records that an upstream has gone on for a while after it began to
+	// answer the call.
+	AnswerBegan(call *nutmegcall.Call)
+	// Answered records that an upstream has answered the call completely.
 	Answered(call *nutmegcall.Call)
 }
 
--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -151,6 +151,7 @@
 func (e *exchange) forwardStream(ctx context.Context, p *nutmegplace.Placement, resp *nutmegconn.Response) (attemptResult, error) {
 	chunk := make([]byte, chunkSize)
 	e.events.Reset()
+	e.beganAt = 0
 	for {
 		n, err := resp.Body.Read(chunk)
 		if n > 0 {
@@ -196,6 +197,7 @@
 	}
 	cfg := e.relay.cfg
 	cfg.Placer.RecordEvent(p, cfg.Elapsed())
+	e.recordBegin()
 	e.sendHeader(resp)
 	return e.sink.Write(complete)
 }
--- a/internal/traffic/nutmegrelay/suspects.go
+++ b/internal/traffic/nutmegrelay/suspects.go
@@ -3,12 +3,17 @@
 import (
 	"context"
 	"fmt"
+	"time"
 
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
 )
 
+// beginDuration is how long events must have arrived before an upstream counts as
+// answering: one that crashes on a request does so as it begins.
+const beginDuration = 250 * time.Millisecond
+
 // checkHold refuses a call that is held back because upstreams crashed under it.
 func (e *exchange) checkHold() *nutmegcall.Refusal {
 	hold, held := e.relay.cfg.Suspects.Held(e.call)
@@ -17,7 +22,22 @@
 	}
 	return &nutmegcall.Refusal{
 		Reason: nutmegcall.ReasonQuarantined, RetryAfter: hold.Left,
-		Detail: fmt.Sprintf("%d upstreams crashed under requests with key %s", hold.Crashes, hold.Key),
+		Detail: fmt.Sprintf("%d upstreams crashed under requests with %s", hold.Crashes, hold.Suspect),
+	}
+}
+
+// recordBegin is called for each event. It records that the upstream has begun to
+// answer the call without crashing, once that is certain.
+func (e *exchange) recordBegin() {
+	cfg := e.relay.cfg
+	now := cfg.Elapsed()
+	if e.beganAt == 0 {
+		e.beganAt = now
+		return
+	}
+	if !e.begun && now-e.beganAt >= beginDuration {
+		e.begun = true
+		cfg.Suspects.AnswerBegan(e.call)
 	}
 }
 
--- a/internal/traffic/nutmegsuspect/defaults.go
+++ b/internal/traffic/nutmegsuspect/defaults.go
@@ -6,25 +6,29 @@
 	// crashesToHold is the number of processes that must end under a request
 	// before it is held back. One may have ended because of another request.
 	crashesToHold = 2
-	// trialHold is how long a request is held back after crashesToHold crashes.
-	// Then it is tried again: it may be sound, and nobody could tell so far. The
-	// crashed upstreams are back by then.
+	// crashesToHoldPart is that number for a part of a prompt, which holds back
+	// many requests.
+	crashesToHoldPart = 3
+	// trialHold is how long a suspect is held back after that many crashes. Then
+	// it is tried again: it may be sound, and nobody could tell so far. The crashed
+	// upstreams are back by then.
 	trialHold = 3 * time.Second
 	// firstHold is how long it is held back after one more crash. Each further
 	// crash doubles the time, up to maxHold.
-	firstHold = 2 * time.Minute
-	maxHold   = 32 * time.Minute
+	firstHold  = 2 * time.Minute
+	maxHold    = 32 * time.Minute
+	holdJitter = 0.25 // largest share by which instances extend a hold
 
 	// ReportLifetime is how long a crash counts.
 	ReportLifetime = 50 * time.Minute
 
-	maxReportKeys = 64   // requests in one report
-	maxRecords    = 4096 // suspects that are remembered
+	maxReportSuspects = 48   // in one report
+	maxRecords        = 4096 // suspects that are remembered
 
 	forgetInterval = time.Minute // between two removals of old records
 
-	// answerLifetime is the shortest time for which an answered request is
-	// remembered as sound.
+	// answerLifetime is the shortest time for which something is remembered as
+	// answered.
 	answerLifetime = 30 * time.Second
-	maxAnswers     = 4096 // answered requests that are remembered within answerLifetime
+	maxAnswers     = 4096 // contents, and as many parts, that are remembered within answerLifetime
 )
--- a/internal/traffic/nutmegsuspect/doc.go
+++ b/internal/traffic/nutmegsuspect/doc.go
@@ -1,11 +1,13 @@
 // Package nutmegsuspect finds requests under which upstreams crash, so that they
 // are no longer sent.
 //
-// A request becomes a suspect when an upstream's process ends while the request
-// may be running there. Others were running there, too, so one crash proves
-// nothing. A request is held back when crashesToHold processes have ended under
-// it and none has answered it since. Instances exchange crash reports and
-// acquittals, because the repeats of a request arrive at any of them.
+// When an upstream's process ends while a request may be running there, the
+// request's content and the parts of its prompt become suspects, except for the last
+// part, which no other request shares. Others were running there, too, so one crash
+// proves nothing. A suspect is held back when several processes have ended under it,
+// no answer has acquitted it since, and no other suspect explains the crashes.
+// Instances exchange crash reports and acquittals, because the requests of a suspect
+// arrive at any of them.
 //
 // The package does no I/O and starts no goroutines.
 //
@@ -16,6 +18,7 @@
 //		// refuse the call until hold.Until
 //	}
 //	tracker.UpstreamEnded(call, upstream) // its process ended during the call
+//	tracker.AnswerBegan(call)             // an upstream goes on answering it
 //	tracker.Answered(call)                // an upstream answered it
 //	tracker.MergeReport(report)           // from another instance
 package nutmegsuspect
--- /dev/null
+++ b/internal/traffic/nutmegsuspect/judge.go
@@ -0,0 +1,102 @@
+package nutmegsuspect
+
+import (
+	"bytes"
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// candidate is a suspect with enough crashes to be held back, unless another one
+// explains them.
+type candidate struct {
+	key     Key
+	record  *record
+	crashes int
+}
+
+// judge decides which suspects are held back. Several suspects of one request have
+// the same crashes, and only one of them is guilty. A part explains the crashes of
+// the parts before it, because what most requests share comes first, and those of
+// whole requests. Of parts at the same position, the one with the most crashes comes
+// first.
+func judge(records map[Key]*record, seed string, now time.Time) map[Key]Hold {
+	holds := make(map[Key]Hold)
+	explained := make(map[Process]bool)
+	for _, c := range candidates(records, now) {
+		n, latest := c.record.count(explained, now)
+		extra := n - c.record.threshold()
+		if extra < 0 {
+			continue
+		}
+		if c.record.part > 0 {
+			c.explain(explained, now)
+		}
+		if until := latest.Add(holdTime(extra, c.key, seed)); now.Before(until) {
+			holds[c.key] = Hold{Suspect: Suspect{Key: c.key, Part: c.record.part}, Crashes: n, Until: until}
+		}
+	}
+	return holds
+}
+
+// candidates returns the records with enough crashes, in the order in which they
+// are judged.
+func candidates(records map[Key]*record, now time.Time) []candidate {
+	var list []candidate
+	for key, r := range records {
+		if len(r.crashes) < r.threshold() {
+			continue
+		}
+		if n, _ := r.count(nil, now); n >= r.threshold() {
+			list = append(list, candidate{key: key, record: r, crashes: n})
+		}
+	}
+	slices.SortFunc(list, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(b.record.part, a.record.part), cmp.Compare(b.crashes, a.crashes), bytes.Compare(a.key[:], b.key[:]))
+	})
+	return list
+}
+
+// explain adds the crashes that count against the candidate.
+func (c candidate) explain(explained map[Process]bool, now time.Time) {
+	for p := range c.record.crashes {
+		if c.record.counts(p, now) {
+			explained[p] = true
+		}
+	}
+}
+
+// holdTime returns for how long a suspect is held back after the given number of
+// crashes more than needed. Instances differ in it, so that they do not all try a
+// suspect at the same moment.
+func holdTime(extra int, k Key, seed string) time.Duration {
+	hold := trialHold
+	if extra > 0 {
+		hold = firstHold
+	}
+	for range extra - 1 {
+		hold = min(2*hold, maxHold)
+	}
+	random := float64(xxhash.Sum64String(seed+k.String())) / math.MaxUint64
+	return hold + time.Duration(holdJitter*random*float64(hold))
+}
+
+// verdicts returns the changes from one set of holds to the next.
+func verdicts(before, after map[Key]Hold) []Verdict {
+	var list []Verdict
+	for key, hold := range after {
+		if before[key].Crashes != hold.Crashes {
+			list = append(list, Verdict{Hold: hold, Held: true})
+		}
+	}
+	for key := range maps.Keys(before) {
+		if _, held := after[key]; !held {
+			list = append(list, Verdict{Hold: before[key]})
+		}
+	}
+	return list
+}
--- a/internal/traffic/nutmegsuspect/record.go
+++ b/internal/traffic/nutmegsuspect/record.go
@@ -2,15 +2,24 @@
 
 import "time"
 
-// record holds what is known of requests with one key.
+// record holds what is known of one suspect.
 type record struct {
+	part      int                   // as in Suspect
 	crashes   map[Process]time.Time // when each process ended
-	acquitted map[Process]bool      // processes whose end no longer counts
+	acquitted map[Process]bool      // processes whose end does not count
 	updatedAt time.Time
 }
 
-func newRecord() *record {
-	return &record{crashes: make(map[Process]time.Time), acquitted: make(map[Process]bool)}
+func newRecord(part int) *record {
+	return &record{part: part, crashes: make(map[Process]time.Time), acquitted: make(map[Process]bool)}
+}
+
+// threshold returns how many processes must end before the suspect is held back.
+func (r *record) threshold() int {
+	if r.part > 0 {
+		return crashesToHoldPart
+	}
+	return crashesToHold
 }
 
 // addCrash adds the end of a process. Of several times for it the earliest counts.
@@ -21,12 +30,19 @@
 	r.updatedAt = now
 }
 
-// counted returns the number of crashes that count, and the time of the latest.
-func (r *record) counted(now time.Time) (int, time.Time) {
+// counts reports whether the end of a process counts against the suspect.
+func (r *record) counts(p Process, now time.Time) bool {
+	at, crashed := r.crashes[p]
+	return crashed && !r.acquitted[p] && now.Sub(at) <= ReportLifetime
+}
+
+// count returns the number of crashes that count, and the time of the latest one.
+// Those in explained are left out.
+func (r *record) count(explained map[Process]bool, now time.Time) (int, time.Time) {
 	var latest time.Time
 	n := 0
-	for process, at := range r.crashes {
-		if r.acquitted[process] || now.Sub(at) > ReportLifetime {
+	for p, at := range r.crashes {
+		if explained[p] || !r.counts(p, now) {
 			continue
 		}
 		n++
@@ -37,41 +53,6 @@
 	return n, latest
 }
 
-// heldUntil returns the number of crashes that count and until when the requests
-// are held back; the zero time if they are not.
-func (r *record) heldUntil(now time.Time) (int, time.Time) {
-	n, latest := r.counted(now)
-	if n < crashesToHold {
-		return n, time.Time{}
-	}
-	hold := trialHold
-	if n > crashesToHold {
-		hold = firstHold
-	}
-	for range n - crashesToHold - 1 {
-		hold = min(2*hold, maxHold)
-	}
-	until := latest.Add(hold)
-	if !now.Before(until) {
-		return n, time.Time{}
-	}
-	return n, until
-}
-
-// compare orders records by importance: those that hold requests back are the most
-// important, and then the latest.
-func (r *record) compare(other *record, now time.Time) int {
-	_, until := r.heldUntil(now)
-	_, otherUntil := other.heldUntil(now)
-	if until.IsZero() != otherUntil.IsZero() {
-		if until.IsZero() {
-			return -1
-		}
-		return 1
-	}
-	return r.updatedAt.Compare(other.updatedAt)
-}
-
 // acquit stops counting the end of a process.
 func (r *record) acquit(p Process, now time.Time) {
 	r.acquitted[p] = true
@@ -85,7 +66,7 @@
 	for p := range r.crashes {
 		if !r.acquitted[p] {
 			r.acquit(p, now)
-			list = append(list, Acquittal{Key: k, Process: p})
+			list = append(list, Acquittal{Suspect: Suspect{Key: k, Part: r.part}, Process: p})
 		}
 	}
 	return list
--- a/internal/traffic/nutmegsuspect/tracker.go
+++ b/internal/traffic/nutmegsuspect/tracker.go
@@ -1,6 +1,7 @@
 package nutmegsuspect
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -12,19 +13,18 @@
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
-// Verdict is a change in whether requests with a key are held back.
-type Verdict struct {
-	Key     Key
-	Crashes int       // that count
-	Until   time.Time // end of the hold; the zero time if the requests may be sent
-}
-
-// Hold says why and until when a request is held back.
+// Hold says why and until when requests are held back.
 type Hold struct {
-	Key     Key
+	Suspect
 	Crashes int
 	Until   time.Time
-	Left    time.Duration // until the end of the hold
+	Left    time.Duration // until the end of the hold; only from Held
+}
+
+// Verdict is a change in whether the requests of a suspect are held back.
+type Verdict struct {
+	Hold
+	Held bool // false when the requests may be sent again
 }
 
 // Config configures a Tracker. All functions may be nil; they are called without
@@ -37,19 +37,19 @@
 	OnVerdict   func(Verdict)
 }
 
-// Tracker tracks suspect requests. It is safe for concurrent use.
+// Tracker tracks suspects. It is safe for concurrent use.
 type Tracker struct {
 	cfg Config
-	// suspects is the number of records, so that calls need no keys while there
-	// are none.
-	suspects atomic.Int64
+	// held is the number of holds, so that calls need no keys while there are none.
+	held atomic.Int64
 
-	mu      sync.Mutex
-	records map[Key]*record
-	reports map[Process]*Report // made by this tracker
-	answers answers
-	// forgotAt is when old records were removed.
-	forgotAt time.Time
+	mu       sync.Mutex
+	records  map[Key]*record
+	holds    map[Key]Hold
+	reports  map[Process]*Report // made by this tracker
+	contents answers
+	parts    answers
+	forgotAt time.Time // when old records were removed
 }
 
 // NewTracker returns a Tracker without suspects.
@@ -69,34 +69,50 @@
 	return &Tracker{cfg: cfg, records: make(map[Key]*record), reports: make(map[Process]*Report)}
 }
 
-// Held reports whether a call is held back.
+// suspectsOf returns what a call may have in common with others: its content and
+// the parts of its prompt.
+func suspectsOf(c *nutmegcall.Call) []Suspect {
+	return append([]Suspect{{Key: ContentKey(c)}}, partsOf(c)...)
+}
+
+func partsOf(c *nutmegcall.Call) []Suspect {
+	var list []Suspect
+	for i, key := range PartKeys(c) {
+		list = append(list, Suspect{Key: key, Part: i + 1})
+	}
+	return list
+}
+
+// Held reports whether a call is held back. Of several holds it returns the longest.
 func (t *Tracker) Held(c *nutmegcall.Call) (Hold, bool) {
-	if t.suspects.Load() == 0 {
+	if t.held.Load() == 0 {
 		return Hold{}, false
 	}
-	key := ContentKey(c)
+	suspects := suspectsOf(c)
 	now := t.cfg.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r, ok := t.records[key]
-	if !ok {
-		return Hold{}, false
+	var longest Hold
+	for _, s := range suspects {
+		if hold, ok := t.holds[s.Key]; ok && hold.Until.After(longest.Until) {
+			longest = hold
+		}
 	}
-	crashes, until := r.heldUntil(now)
-	return Hold{Key: key, Crashes: crashes, Until: until, Left: until.Sub(now)}, !until.IsZero()
+	longest.Left = longest.Until.Sub(now)
+	return longest, longest.Left > 0
 }
 
 // UpstreamEnded records that an upstream's process ended while a call may have
-// been running there. A call like one that was answered lately is no suspect.
+// been running there. What was answered lately is no suspect.
 func (t *Tracker) UpstreamEnded(c *nutmegcall.Call, u nutmegview.Upstream) {
-	key := ContentKey(c)
 	now := t.cfg.Now()
 	t.mu.Lock()
-	if t.answers.has(key, now) {
+	suspects := slices.DeleteFunc(suspectsOf(c), func(s Suspect) bool { return t.answered(s, now) })
+	if len(suspects) == 0 {
 		t.mu.Unlock()
 		return
 	}
-	report, changed := t.addToReport(ProcessOf(u), key, now)
+	report, changed := t.addToReport(ProcessOf(u), suspects, now)
 	news := t.count(report, now)
 	t.mu.Unlock()
 	if changed {
@@ -105,34 +121,46 @@
 	t.announce(news)
 }
 
-// addToReport adds a key to this tracker's report on a process. It returns a copy
-// of the report, and whether it has changed. The caller holds mu.
-func (t *Tracker) addToReport(p Process, k Key, now time.Time) (Report, bool) {
-	t.expireReports(now)
+// answered reports whether a request with the suspect was answered here lately. The
+// caller holds mu.
+func (t *Tracker) answered(s Suspect, now time.Time) bool {
+	if s.Part > 0 {
+		return t.parts.has(s.Key, now)
+	}
+	return t.contents.has(s.Key, now)
+}
+
+// addToReport adds suspects to this tracker's report on a process. It returns a
+// copy of the report, and whether it has changed. The caller holds mu.
+func (t *Tracker) addToReport(p Process, suspects []Suspect, now time.Time) (Report, bool) {
+	maps.DeleteFunc(t.reports, func(_ Process, r *Report) bool { return now.Sub(r.EndedAt) > ReportLifetime })
 	report, ok := t.reports[p]
 	if !ok {
 		report = &Report{Process: p, Reporter: t.cfg.Reporter, EndedAt: now}
 		t.reports[p] = report
 	}
-	changed := !slices.Contains(report.Keys, k) && len(report.Keys) < maxReportKeys
-	if changed {
-		report.Keys = append(report.Keys, k)
+	changed := false
+	for _, s := range suspects {
+		if !slices.Contains(report.Suspects, s) && len(report.Suspects) < maxReportSuspects {
+			report.Suspects = append(report.Suspects, s)
+			changed = true
+		}
 	}
-	clone := *report
-	clone.Keys = slices.Clone(report.Keys)
-	return clone, changed
+	return report.clone(), changed
 }
 
-// expireReports forgets reports whose crashes no longer count. The caller holds mu.
-func (t *Tracker) expireReports(now time.Time) {
-	maps.DeleteFunc(t.reports, func(_ Process, r *Report) bool { return now.Sub(r.EndedAt) > ReportLifetime })
+// clone returns a copy of the report.
+func (r *Report) clone() Report {
+	c := *r
+	c.Suspects = slices.Clone(r.Suspects)
+	return c
 }
 
-// MergeReport adds the crashes that another instance has reported. Requests that
+// MergeReport adds the crashes that another instance has reported. Suspects that
 // were answered here lately are acquitted.
 func (t *Tracker) MergeReport(r Report) {
-	if len(r.Keys) > maxReportKeys {
-		r.Keys = r.Keys[:maxReportKeys]
+	if len(r.Suspects) > maxReportSuspects {
+		r.Suspects = r.Suspects[:maxReportSuspects]
 	}
 	now := t.cfg.Now()
 	t.mu.Lock()
@@ -156,42 +184,47 @@
 	}
 }
 
-// count counts a report's crash for each of its keys. The caller holds mu.
+// count counts a report's crash for each of its suspects. The caller holds mu.
 func (t *Tracker) count(report Report, now time.Time) changes {
 	var news changes
-	for _, key := range report.Keys {
-		r := t.record(key)
-		before, _ := r.heldUntil(now)
+	for _, s := range report.Suspects {
+		r := t.record(s)
 		r.addCrash(report.Process, report.EndedAt, now)
-		if t.answers.has(key, now) {
-			news.acquittals = append(news.acquittals, r.acquitAll(key, now)...)
-			continue
-		}
-		crashes, until := r.heldUntil(now)
-		if crashes != before && !until.IsZero() {
-			news.verdicts = append(news.verdicts, Verdict{Key: key, Crashes: crashes, Until: until})
+		if t.answered(s, now) {
+			news.acquittals = append(news.acquittals, r.acquitAll(s.Key, now)...)
 		}
 	}
 	t.forget(now)
+	news.verdicts = t.judge(now)
 	return news
 }
 
-// record returns the record of a key, a new one if there is none. The caller holds
-// mu.
-func (t *Tracker) record(k Key) *record {
-	r, ok := t.records[k]
+// record returns the record of a suspect, a new one if there is none. The caller
+// holds mu.
+func (t *Tracker) record(s Suspect) *record {
+	r, ok := t.records[s.Key]
 	if !ok {
-		r = newRecord()
-		t.records[k] = r
+		r = newRecord(s.Part)
+		t.records[s.Key] = r
 	}
+	r.part = max(r.part, s.Part)
 	return r
 }
 
+// judge decides again which suspects are held back, and returns the changes. The
+// caller holds mu.
+func (t *Tracker) judge(now time.Time) []Verdict {
+	holds := judge(t.records, string(t.cfg.Reporter), now)
+	list := verdicts(t.holds, holds)
+	t.holds = holds
+	t.held.Store(int64(len(holds)))
+	return list
+}
+
 // forget removes records whose crashes no longer count. Beyond maxRecords, it
 // removes a quarter of them: those go first that hold nothing back, and of these
 // the oldest. The caller holds mu.
 func (t *Tracker) forget(now time.Time) {
-	defer func() { t.suspects.Store(int64(len(t.records))) }()
 	if age := now.Sub(t.forgotAt); age >= 0 && age < forgetInterval && len(t.records) <= maxRecords {
 		return
 	}
@@ -200,22 +233,42 @@
 	if len(t.records) <= maxRecords {
 		return
 	}
-	keys := slices.SortedFunc(maps.Keys(t.records), func(a, b Key) int { return t.records[a].compare(t.records[b], now) })
+	keys := slices.SortedFunc(maps.Keys(t.records), func(a, b Key) int {
+		return cmp.Or(t.holds[a].Until.Compare(t.holds[b].Until), t.records[a].updatedAt.Compare(t.records[b].updatedAt))
+	})
 	for _, key := range keys[:len(keys)-maxRecords*3/4] {
 		delete(t.records, key)
 	}
 }
 
-// Answered records that an upstream has answered a call: its content does not
-// crash upstreams.
+// Answered records that an upstream has answered a call completely: neither its
+// content nor its parts crash upstreams.
 func (t *Tracker) Answered(c *nutmegcall.Call) {
-	key := ContentKey(c)
+	t.acquit(suspectsOf(c))
+}
+
+// AnswerBegan records that an upstream has gone on for a while after it began to
+// answer a call: its parts do not crash upstreams.
+func (t *Tracker) AnswerBegan(c *nutmegcall.Call) {
+	t.acquit(partsOf(c))
+}
+
+func (t *Tracker) acquit(suspects []Suspect) {
 	now := t.cfg.Now()
-	t.mu.Lock()
-	t.answers.add(key, now)
 	var news changes
-	if r, ok := t.records[key]; ok {
-		news.acquittals = r.acquitAll(key, now)
+	t.mu.Lock()
+	for _, s := range suspects {
+		if s.Part > 0 {
+			t.parts.add(s.Key, now)
+		} else {
+			t.contents.add(s.Key, now)
+		}
+		if r, ok := t.records[s.Key]; ok {
+			news.acquittals = append(news.acquittals, r.acquitAll(s.Key, now)...)
+		}
+	}
+	if len(news.acquittals) > 0 {
+		news.verdicts = t.judge(now)
 	}
 	t.mu.Unlock()
 	t.announce(news)
@@ -226,15 +279,11 @@
 func (t *Tracker) MergeAcquittal(a Acquittal) {
 	now := t.cfg.Now()
 	t.mu.Lock()
-	r := t.record(a.Key)
-	_, before := r.heldUntil(now)
-	r.acquit(a.Process, now)
-	crashes, until := r.heldUntil(now)
+	t.record(a.Suspect).acquit(a.Process, now)
 	t.forget(now)
+	list := t.judge(now)
 	t.mu.Unlock()
-	if !before.IsZero() && until.IsZero() {
-		t.cfg.OnVerdict(Verdict{Key: a.Key, Crashes: crashes})
-	}
+	t.announce(changes{verdicts: list})
 }
 
 // Reports returns the reports of this tracker.
@@ -243,9 +292,7 @@
 	defer t.mu.Unlock()
 	var list []Report
 	for _, r := range t.reports {
-		clone := *r
-		clone.Keys = slices.Clone(r.Keys)
-		list = append(list, clone)
+		list = append(list, r.clone())
 	}
 	return list
 }
