--- a/nutmegpeer/fleet_bench_test.go
+++ b/nutmegpeer/fleet_bench_test.go
@@ -83,3 +83,45 @@
 	}
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
+
+// BenchmarkUrgentItem measures the time until an urgent item has reached the last
+// peer, in a fleet whose regular rounds are far apart.
+func BenchmarkUrgentItem(b *testing.B) {
+	for _, n := range []int{7, 95, 450} {
+		b.Run(fmt.Sprintf("peers=%d", n), func(b *testing.B) {
+			f := newTestFleet(b, n, func(_ int, cfg *Config) {
+				cfg.Interval, cfg.DeadAfter = 10*time.Second, 0
+				cfg.Dial = nil
+			})
+			f.registerUrgent()
+			addresses := make([]string, 0, n)
+			for _, p := range f.peers {
+				addresses = append(addresses, p.address)
+			}
+			for _, p := range f.peers {
+				p.SetSeeds(addresses)
+				p.Announce()
+			}
+			var slowest time.Duration
+			for i := 0; b.Loop(); i++ {
+				slowest = max(slowest, f.spreadItem(b, i))
+			}
+			b.ReportMetric(slowest.Seconds(), "s/slowest")
+		})
+	}
+}
+
+// spreadItem puts an item at a peer and returns the time until all peers hold it.
+func (f *testFleet) spreadItem(b *testing.B, i int) time.Duration {
+	start := time.Now()
+	item := Item{Kind: urgentKind, Key: fmt.Sprint("item", i), Version: 1, Expires: start.Add(time.Minute), Value: make([]byte, 200)}
+	if err := f.peers[i%len(f.peers)].Gossip().Put(item); err != nil {
+		b.Fatal(err)
+	}
+	for _, p := range f.peers {
+		for !slices.ContainsFunc(p.Gossip().Items(urgentKind), func(got Item) bool { return got.Key == item.Key }) {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	return time.Since(start)
+}
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -11,7 +11,8 @@
 //	peers.Stop()
 //
 // Peers whose hash over all items differs exchange a sample of all items, so that
-// an instance that was cut off or has just started gets those that it missed.
+// an instance that was cut off or has just started gets those that it missed. Each
+// peer sends at most one sample in syncInterval.
 // While there are items, the rounds are at most itemInterval apart.
 //
 // Each round exchanges digests with a few peers. The size of a digest is bounded
@@ -94,6 +95,8 @@
 	heartbeat     atomic.Uint64
 	leaving       atomic.Bool
 	announcements chan struct{} // signals that some peers are to be updated immediately
+	announceSoon  atomic.Bool   // another announcement is scheduled
+	lastSync      atomic.Int64  // when a sample of all items was sent last, in nanoseconds since the Unix epoch
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -282,8 +285,12 @@
 	for _, address := range addresses {
 		p.startExchange(address, false, &p.calls)
 	}
-	if len(addresses) > 0 && p.gossip.mustAnnounce() { // a digest holds only some of the items
-		p.Announce()
+	// A digest holds only some of the items.
+	if len(addresses) > 0 && p.gossip.mustAnnounce() && p.announceSoon.CompareAndSwap(false, true) {
+		time.AfterFunc(announcePause, func() {
+			p.announceSoon.Store(false)
+			p.Announce()
+		})
 	}
 }
 
@@ -313,7 +320,7 @@
 func (p *Peers) exchange(address string, digest *peerpb.Digest) {
 	err := p.call(address, func(ctx context.Context, client peerpb.DRPCPeerClient) error {
 		reply, err := p.exchangeDigest(ctx, client, digest)
-		if err != nil || reply.GetItemsHash() == p.gossip.hash() {
+		if err != nil || reply.GetItemsHash() == p.gossip.hash() || !p.maySync() {
 			return err
 		}
 		if digest, err = p.newSyncDigest(address, 0); err != nil {
@@ -342,6 +349,14 @@
 	return reply, p.receive(reply)
 }
 
+// maySync reports whether a sample of all items may be sent now, and counts it if
+// so. While items spread, peers differ all the time.
+func (p *Peers) maySync() bool {
+	now := time.Now().UnixNano()
+	last := p.lastSync.Load()
+	return (now < last || now-last >= int64(syncInterval)) && p.lastSync.CompareAndSwap(last, now)
+}
+
 // newSyncDigest returns a signed digest with a sample of all items.
 func (p *Peers) newSyncDigest(receiver string, members int) (*peerpb.Digest, error) {
 	return p.signDigest(receiver, members, p.gossip.sample(maxSyncBytes), false)
@@ -466,7 +481,7 @@
 	if d.GetFull() {
 		members = maxFullMembers
 	}
-	if d.GetItemsHash() != s.peers.gossip.hash() {
+	if d.GetItemsHash() != s.peers.gossip.hash() && s.peers.maySync() {
 		return s.peers.newSyncDigest(d.GetSender().GetAddress(), members)
 	}
 	return s.peers.newDigest(d.GetSender().GetAddress(), members, false)
