Date recent crash reports by their arrival

A hold of 3 s was over before it began where the reporter's clock was a few seconds slow. A report younger than 5 s counts from its arrival now, also one from the future. TestHoldDoesNotDependOnTheReportersClock failed before (offsets of -4 s and 1 min).

--- a/internal/traffic/nutmegsuspect/defaults.go
+++ b/internal/traffic/nutmegsuspect/defaults.go
@@ -19,6 +19,9 @@
 	maxHold    = 32 * time.Minute
 	holdJitter = 0.25 // largest share by which instances extend a hold
 
+	// clockTolerance is how far the clocks of two instances may differ.
+	clockTolerance = 5 * time.Second
+
 	// ReportLifetime is how long a crash counts.
 	ReportLifetime = 50 * time.Minute
 
--- a/internal/traffic/nutmegsuspect/tracker.go
+++ b/internal/traffic/nutmegsuspect/tracker.go
@@ -157,12 +157,16 @@
 }
 
 // MergeReport adds the crashes that another instance has reported. Suspects that
-// were answered here lately are acquitted.
+// were answered here lately are acquitted. A recent crash is dated by the arrival of
+// its report, because clocks differ.
 func (t *Tracker) MergeReport(r Report) {
 	if len(r.Suspects) > maxReportSuspects {
 		r.Suspects = r.Suspects[:maxReportSuspects]
 	}
 	now := t.cfg.Now()
+	if age := now.Sub(r.EndedAt); age < clockTolerance {
+		r.EndedAt = now
+	}
 	t.mu.Lock()
 	news := t.count(r, now)
 	t.mu.Unlock()
--- a/internal/traffic/nutmegsuspect/tracker_test.go
+++ b/internal/traffic/nutmegsuspect/tracker_test.go
@@ -159,6 +159,24 @@
 	}
 }
 
+// TestHoldDoesNotDependOnTheReportersClock guards against holds that are over as
+// soon as they begin, because the clock of the instance that saw the crash is slow.
+func TestHoldDoesNotDependOnTheReportersClock(t *testing.T) {
+	for _, offset := range []time.Duration{-4 * time.Second, 0, time.Minute} {
+		reporter, f := newFixture("reporter"), newFixture("one")
+		reporter.now = f.now.Add(offset)
+		c := newCall("/a")
+		reporter.UpstreamEnded(c, process("u", 1))
+		reporter.UpstreamEnded(c, process("u", 2))
+		for _, r := range reporter.reports {
+			f.MergeReport(r)
+		}
+		if hold, _ := f.Held(c); hold.Left < trialHold || hold.Left > 2*trialHold {
+			t.Errorf("held back for %s with a clock that is off by %s; want about %s", hold.Left, offset, trialHold)
+		}
+	}
+}
+
 func TestHoldEndsAndDoubles(t *testing.T) {
 	f := newFixture("one")
 	c := newCall("/a")
