Take an answer that ends with its connection and its upstream for incomplete

Answers may have neither a length nor chunks. One whose upstream crashed at the boundary of an event, or before the first one, looked whole: it was passed on as complete, settled, and acquitted the request under which the upstream had crashed.

At the end of such an answer the instance now looks whether the upstream's process has ended; a connection that it opens for that joins the pool. Tests for whole answers without a length, reset ones, streams that end inside an event (these passed before), and for answers that end with their upstream (failed before, in all three forms).

--- a/internal/traffic/nutmegconn/response.go
+++ b/internal/traffic/nutmegconn/response.go
@@ -23,6 +23,12 @@
 	return r
 }
 
+// EndsWithConnection reports whether the end of the connection is the only sign of
+// the end of the body.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // Close returns the connection to the pool if the response permits its reuse, the
 // body was read to EOF and no further bytes were received. Otherwise it closes
 // the connection.
@@ -32,8 +38,7 @@
 	}
 	r.closed = true
 	stopped := r.stop()
-	framed := r.ContentLength >= 0 || len(r.TransferEncoding) > 0
-	if !stopped || !r.atEOF || !framed || r.Response.Close || r.conn.reader.Buffered() > 0 {
+	if !stopped || !r.atEOF || r.EndsWithConnection() || r.Response.Close || r.conn.reader.Buffered() > 0 {
 		_ = r.conn.Close()
 		return
 	}
--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -59,6 +59,10 @@
 		e.finish(ctx, p, nutmegplace.ResultFailed)
 		return attemptUnknown, fmt.Errorf("answer broke off: %w", err)
 	}
+	if !large && e.mayBeIncomplete(ctx, p, resp) {
+		e.finish(ctx, p, nutmegplace.ResultFailed)
+		return attemptUnknown, fmt.Errorf("answer ended with its upstream: %w", io.ErrUnexpectedEOF)
+	}
 	if !e.mayForward(resp.StatusCode) {
 		e.finish(ctx, p, resultOf(resp.StatusCode))
 		return attemptUnknown, fmt.Errorf("answered with status %d", resp.StatusCode)
@@ -114,6 +118,9 @@
 		n, readErr = resp.Body.Read(chunk)
 		part = chunk[:n]
 	}
+	if errors.Is(readErr, io.EOF) && e.mayBeIncomplete(ctx, p, resp) {
+		readErr = io.ErrUnexpectedEOF
+	}
 	if !errors.Is(readErr, io.EOF) {
 		e.finish(ctx, p, nutmegplace.ResultFailed)
 		if nutmegconn.IsConnectionLost(readErr) {
@@ -208,6 +215,10 @@
 		e.finish(ctx, p, nutmegplace.ResultFailed)
 		return attemptUnknown, fmt.Errorf("stream ended within an event after %d events: %w", e.events.Events, io.ErrUnexpectedEOF)
 	}
+	if e.mayBeIncomplete(ctx, p, resp) {
+		e.finish(ctx, p, nutmegplace.ResultFailed)
+		return attemptUnknown, fmt.Errorf("stream ended with its upstream after %d events: %w", e.events.Events, io.ErrUnexpectedEOF)
+	}
 	e.sendHeader(resp)
 	e.finish(ctx, p, nutmegplace.ResultAnswered)
 	e.answered()
@@ -216,6 +227,12 @@
 	return attemptDone, nil
 }
 
+// mayBeIncomplete reports whether a response that ended with its connection may
+// have been cut off: its upstream's process has ended, too.
+func (e *exchange) mayBeIncomplete(ctx context.Context, p *nutmegplace.Placement, resp *nutmegconn.Response) bool {
+	return resp.EndsWithConnection() && e.relay.cfg.Pool.HasEnded(ctx, p.Upstream.Address)
+}
+
 // answered records that the upstream has answered the call completely.
 func (e *exchange) answered() {
 	e.ran = nutmegcall.HasRun
--- a/internal/traffic/nutmegrelay/suspects_test.go
+++ b/internal/traffic/nutmegrelay/suspects_test.go
@@ -4,7 +4,6 @@
 	"maps"
 	"net/http"
 	"net/http/httptest"
-	"sync"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -14,35 +13,42 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
 )
 
-// crasher ends a server's process as soon as it gets a request.
-type crasher struct {
-	once   sync.Once
-	server *httptest.Server
+// fleetWithCrashes returns a fleet of n upstreams of which each ends at its first
+// request.
+func fleetWithCrashes(t *testing.T, n int) *fleet {
+	t.Helper()
+	return fleetThatEnds(t, n, func(server *httptest.Server, _ http.ResponseWriter, _ *http.Request) {
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+	})
 }
 
-func (c *crasher) ServeHTTP(http.ResponseWriter, *http.Request) {
-	c.once.Do(func() {
-		_ = c.server.Listener.Close()
-		c.server.CloseClientConnections()
+// fleetThatEndsAfter returns a fleet of n upstreams of which each ends after part of
+// an answer without a length.
+func fleetThatEndsAfter(t *testing.T, n int, part string) *fleet {
+	t.Helper()
+	return fleetThatEnds(t, n, func(server *httptest.Server, w http.ResponseWriter, r *http.Request) {
+		_ = server.Listener.Close()
+		unframed(part, closeConn)(w, r)
 	})
 }
 
-// fleetWithCrashes returns a fleet of n upstreams of which each ends at its first
-// request.
-func fleetWithCrashes(t *testing.T, n int) *fleet {
+// fleetThatEnds returns a fleet of n upstreams that call end for a request.
+func fleetThatEnds(t *testing.T, n int, end func(*httptest.Server, http.ResponseWriter, *http.Request)) *fleet {
 	t.Helper()
 	f := newFleet(t, make([]http.HandlerFunc, n)...)
 	byID := maps.Clone(f.relay.cfg.View.Upstreams().ByID)
 	for id, u := range byID {
-		c := &crasher{}
-		c.server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			f.mu.Lock()
 			f.requests = append(f.requests, string(id))
 			f.mu.Unlock()
-			c.ServeHTTP(w, r)
+			w.Header().Set("Id", r.Header.Get("Id"))
+			end(server, w, r)
 		}))
-		t.Cleanup(c.server.Close)
-		u.Address = c.server.Listener.Addr().String()
+		t.Cleanup(server.Close)
+		u.Address = server.Listener.Addr().String()
 		byID[id] = u
 	}
 	f.relay.cfg.View.SetUpstreams(2, byID)
