Contact instances that the store lists, not only those that gossip told of

A new instance knows few members, often the same as other new ones, so that all announce to the same few. Announcements and rounds now also go to listed instances of which nothing is known yet.

--- a/nutmegpeer/peer_selector.go
+++ b/nutmegpeer/peer_selector.go
@@ -25,12 +25,12 @@
 }
 
 // selectAddresses returns up to n addresses for the next round, and whether the
-// first one is to be asked for all members. Leaving and dead members are skipped.
-// Without a reachable member it returns seeds.
+// first one is to be asked for all members. Leaving and dead members are skipped,
+// except for seeds if there is no other address.
 func (s *peerSelector) selectAddresses(n int, members []Member, self string) ([]string, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	candidates := reachable(members, self)
+	candidates := s.candidates(members, self)
 	var selected []string
 	s.rounds++
 	switch {
@@ -60,21 +60,31 @@
 }
 
 // randomAddresses returns up to n random addresses without advancing the cycle.
-// Without a reachable member it returns seeds.
+// Leaving and dead members are skipped, except for seeds if there is no other
+// address.
 func (s *peerSelector) randomAddresses(n int, members []Member, self string) []string {
-	addresses := shuffled(reachable(members, self))
-	if len(addresses) > 0 {
-		return addresses[:min(n, len(addresses))]
-	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.randomSeeds(n, self)
+	addresses := shuffled(s.candidates(members, self))
+	if len(addresses) == 0 {
+		return s.randomSeeds(n, self)
+	}
+	return addresses[:min(n, len(addresses))]
 }
 
-// reachable returns the addresses of the members other than self that are alive or
-// suspected.
-func reachable(members []Member, self string) map[string]bool {
+// candidates returns the addresses of the members other than self that are alive or
+// suspected, and the seeds whose state is not known. A new instance knows few
+// members, often the same ones as other new instances. The caller holds mu.
+func (s *peerSelector) candidates(members []Member, self string) map[string]bool {
 	candidates := make(map[string]bool, len(members))
+	for _, seed := range s.seeds {
+		candidates[seed] = true
+	}
+	for _, m := range members {
+		if m.State != StateAlive && m.State != StateSuspect {
+			delete(candidates, m.Address)
+		}
+	}
 	for _, m := range members {
 		if m.State == StateAlive || m.State == StateSuspect {
 			candidates[m.Address] = true
