Suspect only requests whose answer had not gone on for a while

Each of them went into a crash report, though an upstream that crashes on a request does so as it begins.

TestLongAnswerMakesNoSuspect failed before.

--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -129,7 +129,7 @@
 		entry = entry.WithError(d.Err)
 	}
 	if d.Kind == nutmegrelay.DecisionUpstreamEnded {
-		entry = entry.WithFields(logrus.Fields{"content": d.Content, "parts": d.Parts, "events": d.Events})
+		entry = entry.WithFields(logrus.Fields{"content": d.Content, "parts": d.Parts, "events": d.Events, "begun": d.Begun})
 	}
 	entry.Info("request progress")
 }
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -44,8 +44,8 @@
 	info       ResponseInfo // of the latest response
 	events     nutmegevent.Splitter
 	headerSent bool          // the response header was sent to the caller
-	beganAt    time.Duration // first event of the latest attempt
-	begun      bool          // an upstream counts as having begun to answer
+	beganAt    time.Duration // first event of the latest attempt; zero if there was none
+	begun      bool          // the latest attempt's upstream has gone on for a while after that
 	outcome    nutmegcall.Outcome
 }
 
@@ -221,6 +221,7 @@
 	cfg := e.relay.cfg
 	ctx, cancel := e.limitAttempt(ctx)
 	defer cancel()
+	e.beganAt, e.begun = 0, false
 	resp, err := cfg.Pool.Send(ctx, e.request(p))
 	if err != nil {
 		return e.handleSendError(ctx, p, err)
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -106,8 +106,10 @@
 	// parts of prompts; only of a DecisionUpstreamEnded.
 	Content nutmegsuspect.Key
 	Parts   []nutmegsuspect.Key
-	// Events is the number of events that were passed on before.
+	// Events is the number of events that were passed on before; Begun says that the
+	// upstream had gone on for a while after the first.
 	Events int64
+	Begun  bool
 }
 
 // DecisionKind is the kind of a Decision.
--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -158,7 +158,6 @@
 func (e *exchange) forwardStream(ctx context.Context, p *nutmegplace.Placement, resp *nutmegconn.Response) (attemptResult, error) {
 	chunk := make([]byte, chunkSize)
 	e.events.Reset()
-	e.beganAt = 0
 	for {
 		n, err := resp.Body.Read(chunk)
 		if n > 0 {
--- a/internal/traffic/nutmegrelay/suspects.go
+++ b/internal/traffic/nutmegrelay/suspects.go
@@ -42,18 +42,19 @@
 }
 
 // checkUpstream records the call as a suspect if its upstream has crashed, after
-// the upstream closed the connection before its response was complete.
+// the upstream closed the connection before its response was complete. A call that
+// the upstream had begun to answer is no suspect.
 func (e *exchange) checkUpstream(ctx context.Context, p *nutmegplace.Placement) {
 	cfg := e.relay.cfg
 	if !cfg.Pool.HasEnded(ctx, p.Upstream.Address) {
 		return
 	}
 	cfg.OnDecision(e.call, Decision{
-		Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Events: e.events.Events,
+		Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Events: e.events.Events, Begun: e.begun,
 		Content: nutmegsuspect.ContentKey(e.call), Parts: nutmegsuspect.PartKeys(e.call),
 	})
 	// An upstream that leaves ends as planned. Its entry may go before it does.
-	if u, listed := cfg.View.Upstreams().ByID[p.Upstream.ID]; listed && !u.Leaving {
+	if u, listed := cfg.View.Upstreams().ByID[p.Upstream.ID]; listed && !u.Leaving && !e.begun {
 		cfg.Suspects.UpstreamEnded(e.call, p.Upstream)
 	}
 }
--- a/internal/traffic/nutmegrelay/suspects_test.go
+++ b/internal/traffic/nutmegrelay/suspects_test.go
@@ -1,10 +1,12 @@
 package nutmegrelay
 
 import (
+	"fmt"
 	"maps"
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 
@@ -81,6 +83,28 @@
 	}
 }
 
+// TestLongAnswerMakesNoSuspect guards against long answers that are blamed for the
+// crash of an upstream that had been working on them for a while.
+func TestLongAnswerMakesNoSuspect(t *testing.T) {
+	f := fleetThatEnds(t, 2, func(server *httptest.Server, w http.ResponseWriter, _ *http.Request) {
+		c := http.NewResponseController(w)
+		for n := range 2 {
+			_, _ = fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+			_ = c.Flush()
+			time.Sleep(beginDuration + 20*time.Millisecond)
+		}
+		_ = server.Listener.Close()
+		server.CloseClientConnections()
+	})
+	outcome, _ := f.relay.Serve(t.Context(), newCall(resumable), &recorder{})
+	if outcome.Reason == nutmegcall.ReasonAnswered || f.sends() != 2 {
+		t.Fatalf("outcome %+v after %d sends; want a broken answer after two", outcome, f.sends())
+	}
+	if hold, held := f.relay.cfg.Suspects.Held(newCall(resumable)); held {
+		t.Errorf("held back: %+v", hold)
+	}
+}
+
 // TestPlannedEndMakesNoSuspect guards against requests that are held back because
 // upstreams leave as planned.
 func TestPlannedEndMakesNoSuspect(t *testing.T) {
