Keep the suspects that are held back in the store

A fleet whose instances were all killed or replaced forgot under which requests upstreams had crashed, and lost two or more upstreams to each of them again.

The instance whose own record changes a hold writes the convictions to one object, merged with what is there and without what was acquitted; an instance reads it once, at its start, before it is ready. No watch, no poll: later news come from peers.

--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -31,10 +31,12 @@
 	storeOutageAfter = 2800 * time.Millisecond // an outage starts this long after the last successful response
 	// budgetsPerShard is the number of budgets per store object. More budgets make
 	// commits larger and conflicts likelier; fewer require more commits.
-	budgetsPerShard     = 5
-	fetchConfigInterval = 600 * time.Millisecond
-	maxCrashReports     = 512
-	maxAcquittals       = 512
-	maxSuspectItemBytes = 3 << 10                // of a gossip item about suspects
-	feedMargin          = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
+	budgetsPerShard       = 5
+	fetchConfigInterval   = 600 * time.Millisecond
+	maxCrashReports       = 512
+	maxAcquittals         = 512
+	maxSuspectItemBytes   = 3 << 10                 // of a gossip item about suspects
+	suspectsStoreTimeout  = 1200 * time.Millisecond // for one read or write of the suspects
+	suspectsRetryInterval = time.Second
+	feedMargin            = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
 )
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -92,6 +92,7 @@
 	retries          *nutmegretry.Budget
 	meter            *nutmegmeter.Meter
 	suspects         *nutmegsuspect.Tracker
+	suspectStore     *suspectStore
 	relay            *nutmegrelay.Relay
 
 	callers       *nutmegserve.Server
@@ -199,8 +200,9 @@
 }
 
 // peersStarted continues the start once the fleet's key and number of shards are
-// known.
+// known. The instance is ready only after that, with the suspects of the fleet.
 func (e *Entry) peersStarted(shards int) {
+	e.suspectStore.read(e.requestsCtx)
 	e.meter.Open(shards)
 	e.resendReports()
 }
@@ -235,6 +237,7 @@
 	e.roster.Start(ctx, e.traffic.Listener(peers))
 	go e.fetchConfigLoop(ctx)
 	go e.overload.loop(ctx)
+	go e.suspectStore.run(ctx)
 	e.pool.Start()
 	e.readiness = e.serve(readiness, e.readinessHandler())
 	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle))
@@ -284,6 +287,7 @@
 	e.stopFollowing()
 	<-e.configFetchDone
 	<-e.overload.done
+	<-e.suspectStore.done
 	e.roster.Stop()
 	e.pool.Stop()
 	e.readiness.Kill()
--- a/internal/instance/nutmegentry/suspects.go
+++ b/internal/instance/nutmegentry/suspects.go
@@ -18,8 +18,9 @@
 )
 
 func (e *Entry) buildSuspects() {
+	e.suspectStore = newSuspectStore(e)
 	e.suspects = nutmegsuspect.NewTracker(nutmegsuspect.Config{
-		Reporter: e.incarnation, OnReport: e.sendReport, OnAcquittal: e.sendAcquittal, OnVerdict: e.verdictChanged,
+		Reporter: e.incarnation, OnReport: e.sendReport, OnAcquittal: e.sendAcquittal, OnVerdict: e.verdictChanged, OnChange: e.suspectStore.changed,
 	})
 }
 
--- a/internal/traffic/nutmegsuspect/defaults.go
+++ b/internal/traffic/nutmegsuspect/defaults.go
@@ -27,6 +27,7 @@
 
 	maxReportSuspects = 48   // in one report
 	maxRecords        = 4096 // suspects that are remembered
+	maxConvictions    = 256  // in a merged snapshot
 
 	forgetInterval = time.Minute // between two removals of old records
 
--- a/internal/traffic/nutmegsuspect/judge.go
+++ b/internal/traffic/nutmegsuspect/judge.go
@@ -19,7 +19,8 @@
 	crashes int
 }
 
-// judge decides which suspects are held back. Several suspects of one request have
+// judge decides which suspects are held back and until when, also those whose hold
+// is over. Several suspects of one request have
 // the same crashes, and only one of them is guilty. A part explains the crashes of
 // the parts before it, because what most requests share comes first, and those of
 // whole requests. Of parts at the same position, the one with the most crashes comes
@@ -36,9 +37,7 @@
 		if c.record.part > 0 {
 			c.explain(explained, now)
 		}
-		if until := latest.Add(holdTime(extra, c.key, seed)); now.Before(until) {
-			holds[c.key] = Hold{Suspect: Suspect{Key: c.key, Part: c.record.part}, Crashes: n, Until: until}
-		}
+		holds[c.key] = Hold{Suspect: Suspect{Key: c.key, Part: c.record.part}, Crashes: n, Until: latest.Add(holdTime(extra, c.key, seed))}
 	}
 	return holds
 }
--- a/internal/traffic/nutmegsuspect/tracker.go
+++ b/internal/traffic/nutmegsuspect/tracker.go
@@ -35,12 +35,16 @@
 	OnReport    func(Report)         // a new or longer report of this tracker
 	OnAcquittal func(Acquittal)      // a new acquittal by this tracker
 	OnVerdict   func(Verdict)
+	// OnChange is called when a crash or an answer that this tracker has recorded
+	// itself changes what is held back.
+	OnChange func()
 }
 
 // Tracker tracks suspects. It is safe for concurrent use.
 type Tracker struct {
 	cfg Config
-	// held is the number of holds, so that calls need no keys while there are none.
+	// held is the number of holds, also of those that are over, so that calls need
+	// no keys while there are none.
 	held atomic.Int64
 
 	mu       sync.Mutex
@@ -66,6 +70,9 @@
 	if cfg.OnVerdict == nil {
 		cfg.OnVerdict = func(Verdict) {}
 	}
+	if cfg.OnChange == nil {
+		cfg.OnChange = func() {}
+	}
 	return &Tracker{cfg: cfg, records: make(map[Key]*record), reports: make(map[Process]*Report)}
 }
 
@@ -119,6 +126,9 @@
 		t.cfg.OnReport(report)
 	}
 	t.announce(news)
+	if len(news.verdicts) > 0 {
+		t.cfg.OnChange()
+	}
 }
 
 // answered reports whether a request with the suspect was answered here lately. The
@@ -276,6 +286,9 @@
 	}
 	t.mu.Unlock()
 	t.announce(news)
+	if len(news.verdicts) > 0 {
+		t.cfg.OnChange()
+	}
 }
 
 // MergeAcquittal applies the acquittal of another instance. The report that it
