Let only successful answers acquit suspects

An upstream that fails part of its requests answered a guilty one with an error before it began to work on it, and that acquitted the content and its parts: the crashes until then no longer counted, at any instance. TestErrorAnswerDoesNotAcquit failed before.

--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -71,8 +71,7 @@
 		return e.forwardChunks(ctx, p, resp, body)
 	}
 	e.finish(ctx, p, resultOf(resp.StatusCode))
-	e.answered()
-	e.outcome.Status = resp.StatusCode
+	e.answered(resp.StatusCode)
 	if err := e.sink.SendResponse(resp.StatusCode, resp.Header, body); err != nil {
 		e.outcome.Detail = "the caller did not take the answer: " + err.Error()
 	}
@@ -130,7 +129,7 @@
 		e.outcome.Detail = readErr.Error()
 		return attemptDone, nil
 	}
-	e.answered()
+	e.answered(resp.StatusCode)
 	e.finish(ctx, p, resultOf(resp.StatusCode))
 	return attemptDone, nil
 }
@@ -220,8 +219,7 @@
 	}
 	e.sendHeader(resp)
 	e.finish(ctx, p, nutmegplace.ResultAnswered)
-	e.answered()
-	e.outcome.Status = resp.StatusCode
+	e.answered(resp.StatusCode)
 	e.outcome.Events = e.events.Events
 	return attemptDone, nil
 }
@@ -232,9 +230,13 @@
 	return resp.EndsWithConnection() && e.relay.cfg.Pool.HasEnded(ctx, p.Upstream.Address)
 }
 
-// answered records that the upstream has answered the call completely.
-func (e *exchange) answered() {
+// answered records that the upstream has answered the call completely, with a
+// status.
+func (e *exchange) answered(status int) {
 	e.ran = nutmegcall.HasRun
 	e.outcome.Reason = nutmegcall.ReasonAnswered
-	e.relay.cfg.Suspects.Answered(e.call)
+	e.outcome.Status = status
+	if status < http.StatusMultipleChoices { // an error may come before the work on the request begins
+		e.relay.cfg.Suspects.Answered(e.call)
+	}
 }
--- a/internal/traffic/nutmegrelay/suspects_test.go
+++ b/internal/traffic/nutmegrelay/suspects_test.go
@@ -83,6 +83,22 @@
 	}
 }
 
+// TestErrorAnswerDoesNotAcquit guards against a crashing request that is sent again
+// because a failing upstream has answered it with an error.
+func TestErrorAnswerDoesNotAcquit(t *testing.T) {
+	f := newFleet(t, status(http.StatusInternalServerError))
+	call := newCall(nonIdempotent)
+	for n := range int64(3) {
+		f.relay.cfg.Suspects.UpstreamEnded(call, nutmegview.Upstream{ID: "gone", StartedAt: time.UnixMilli(n)})
+		if n == 0 {
+			_, _ = f.relay.Serve(t.Context(), call, &recorder{})
+		}
+	}
+	if hold, _ := f.relay.cfg.Suspects.Held(call); f.sends() != 1 || hold.Crashes != 3 {
+		t.Errorf("%d crashes count after %d sends; want 3 after one", hold.Crashes, f.sends())
+	}
+}
+
 // TestLongAnswerMakesNoSuspect guards against long answers that are blamed for the
 // crash of an upstream that had been working on them for a while.
 func TestLongAnswerMakesNoSuspect(t *testing.T) {
