Count the crash of an upstream that started again under its old entry

Upstreams may start again under their id, and an instance may send to them before it knows. Their next crash was taken for the one before. A process that ends again after more than 2 s is another one. TestRestartUnderTheSameEntryIsAnotherProcess failed before.

--- a/internal/traffic/nutmegsuspect/defaults.go
+++ b/internal/traffic/nutmegsuspect/defaults.go
@@ -22,6 +22,10 @@
 	// clockTolerance is how far the clocks of two instances may differ.
 	clockTolerance = 5 * time.Second
 
+	// restartGap is the longest time in which all connections of an ended process
+	// break.
+	restartGap = 2 * time.Second
+
 	// ReportLifetime is how long a crash counts.
 	ReportLifetime = 50 * time.Minute
 
--- a/internal/traffic/nutmegsuspect/tracker.go
+++ b/internal/traffic/nutmegsuspect/tracker.go
@@ -145,6 +145,11 @@
 func (t *Tracker) addToReport(p Process, suspects []Suspect, now time.Time) (Report, bool) {
 	maps.DeleteFunc(t.reports, func(_ Process, r *Report) bool { return now.Sub(r.EndedAt) > ReportLifetime })
 	report, ok := t.reports[p]
+	for ok && now.Sub(report.EndedAt) > restartGap {
+		// The upstream has started again under its id, and its entry is out of date.
+		p += "+"
+		report, ok = t.reports[p]
+	}
 	if !ok {
 		report = &Report{Process: p, Reporter: t.cfg.Reporter, EndedAt: now}
 		t.reports[p] = report
--- a/internal/traffic/nutmegsuspect/tracker_test.go
+++ b/internal/traffic/nutmegsuspect/tracker_test.go
@@ -159,6 +159,28 @@
 	}
 }
 
+// TestRestartUnderTheSameEntryIsAnotherProcess guards against crashes that do not
+// count because the upstream's entry does not show yet that it has started again.
+func TestRestartUnderTheSameEntryIsAnotherProcess(t *testing.T) {
+	f, other := newFixture("one"), newFixture("other")
+	c := newCall("/a")
+	for n := range crashesToHold {
+		f.now = f.now.Add(time.Duration(n) * 2 * restartGap)
+		f.UpstreamEnded(c, process("u", 1))
+		f.UpstreamEnded(c, process("u", 1)) // another attempt at the same process
+	}
+	other.now = f.now
+	for _, r := range f.reports {
+		other.MergeReport(r)
+	}
+	if got := other.records[ContentKey(c)]; got == nil || len(got.crashes) != crashesToHold {
+		t.Errorf("another instance counts %+v; want %d crashes", got, crashesToHold)
+	}
+	if hold, _ := f.Held(c); hold.Crashes != crashesToHold {
+		t.Errorf("%d crashes count; want %d", hold.Crashes, crashesToHold)
+	}
+}
+
 // TestHoldDoesNotDependOnTheReportersClock guards against holds that are over as
 // soon as they begin, because the clock of the instance that saw the crash is slow.
 func TestHoldDoesNotDependOnTheReportersClock(t *testing.T) {
