--- a/internal/traffic/nutmegrelay/suspects.go
+++ b/internal/traffic/nutmegrelay/suspects.go
@@ -53,8 +53,14 @@
 		Kind: DecisionUpstreamEnded, Upstream: p.Upstream.ID, Attempt: e.attempts, Events: e.events.Events, Begun: e.begun,
 		Content: nutmegsuspect.ContentKey(e.call), Parts: nutmegsuspect.PartKeys(e.call),
 	})
-	// An upstream that leaves ends as planned. Its entry may go before it does.
-	if u, listed := cfg.View.Upstreams().ByID[p.Upstream.ID]; listed && !u.Leaving && !e.begun {
+	if !e.mayLeave(p) && !e.begun {
 		cfg.Suspects.UpstreamEnded(e.call, p.Upstream)
 	}
 }
+
+// mayLeave reports whether the upstream may end as planned: it says that it leaves,
+// or its entry has gone, which may be the first sign of that.
+func (e *exchange) mayLeave(p *nutmegplace.Placement) bool {
+	u, listed := e.relay.cfg.View.Upstreams().ByID[p.Upstream.ID]
+	return !listed || u.Leaving
+}
--- a/internal/traffic/nutmegrelay/suspects_test.go
+++ b/internal/traffic/nutmegrelay/suspects_test.go
@@ -58,6 +58,16 @@
 	return f
 }
 
+// setLeaving lets all upstreams say that they leave; the placer does not know it yet.
+func (f *fleet) setLeaving() {
+	byID := maps.Clone(f.relay.cfg.View.Upstreams().ByID)
+	for id, u := range byID {
+		u.Leaving = true
+		byID[id] = u
+	}
+	f.relay.cfg.View.SetUpstreams(3, byID)
+}
+
 // sends returns the number of requests that upstreams have received.
 func (f *fleet) sends() int {
 	f.mu.Lock()
@@ -125,12 +135,7 @@
 // upstreams leave as planned.
 func TestPlannedEndMakesNoSuspect(t *testing.T) {
 	f := fleetWithCrashes(t, 2)
-	byID := maps.Clone(f.relay.cfg.View.Upstreams().ByID)
-	for id, u := range byID {
-		u.Leaving = true
-		byID[id] = u
-	}
-	f.relay.cfg.View.SetUpstreams(3, byID)
+	f.setLeaving()
 	_, refusal := f.relay.Serve(t.Context(), newCall(idempotent), &recorder{})
 	if sends := f.sends(); refusal == nil || sends != 2 {
 		t.Fatalf("refusal %v after %d sends; want one after two", refusal, sends)
--- a/internal/traffic/nutmegrelay/unframed_test.go
+++ b/internal/traffic/nutmegrelay/unframed_test.go
@@ -111,6 +111,17 @@
 	}
 }
 
+// TestLastAnswerOfLeavingUpstreamIsWhole guards against the last answer of an
+// upstream that is taken for a broken one because the upstream ends right after it.
+func TestLastAnswerOfLeavingUpstreamIsWhole(t *testing.T) {
+	f := fleetThatEndsAfter(t, 1, "two panes")
+	f.setLeaving()
+	sink := &recorder{}
+	if _, refusal := f.relay.Serve(t.Context(), newCall(nonIdempotent), sink); refusal != nil || sink.Body != "two panes" {
+		t.Errorf("refusal %v, body %q; want the whole answer", refusal, sink.Body)
+	}
+}
+
 // TestUpstreamThatEndsBeforeItsFirstEventMakesSuspect guards against an empty stream
 // without a length that acquits the request under which its upstream crashed.
 func TestUpstreamThatEndsBeforeItsFirstEventMakesSuspect(t *testing.T) {
