--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -10,16 +10,16 @@
 //	for _, m := range peers.Members() { ... }
 //	peers.Stop()
 //
-// Peers whose hash over all items differs exchange a sample of all items, so that
-// an instance that was cut off or has just started gets those that it missed. Each
-// peer sends at most one sample in syncInterval.
-// While there are items, the rounds are at most itemInterval apart.
-//
 // Each round exchanges digests with a few peers. The size of a digest is bounded
 // and does not depend on the size of the fleet: recent changes come first, then
 // the members in round-robin order. Only rounds 1, 4, 16 and so on ask one peer
 // for all members, so that a new instance learns the whole fleet.
 //
+// A digest carries a hash over all gossip items of its sender. Peers that differ
+// exchange a sample of all their items, at most one in syncInterval each, so that
+// an instance that was cut off or has just started gets those that it missed. While
+// there are items, rounds are at most itemInterval apart.
+//
 // A peer that does not answer is suspected. It refutes the suspicion with a
 // higher heartbeat once it learns of it, and is considered dead after
 // Config.DeadAfter if it does not. A new configuration revision is announced
