Hold a suspect back by all its crashes, also those that another one explains

Deeper parts explained three of its six crashes, so that it was held back for the short time before a trial, and four instances tried it within 0.2 s.

Whether a suspect is held back still depends on crashes that nothing else explains; for how long, on all of them. The seed stays as a test, which failed before.

--- a/internal/traffic/nutmegsuspect/judge.go
+++ b/internal/traffic/nutmegsuspect/judge.go
@@ -16,7 +16,8 @@
 type candidate struct {
 	key     Key
 	record  *record
-	crashes int
+	crashes int // that count, also those that another suspect explains
+	latest  time.Time
 }
 
 // judge decides which suspects are held back and until when, also those whose hold
@@ -29,15 +30,15 @@
 	holds := make(map[Key]Hold)
 	explained := make(map[Process]bool)
 	for _, c := range candidates(records, now) {
-		n, latest := c.record.count(explained, now)
-		extra := n - c.record.threshold()
-		if extra < 0 {
+		threshold := c.record.threshold()
+		if n, _ := c.record.count(explained, now); n < threshold {
 			continue
 		}
 		if c.record.part > 0 {
 			c.explain(explained, now)
 		}
-		holds[c.key] = Hold{Suspect: Suspect{Key: c.key, Part: c.record.part}, Crashes: n, Until: latest.Add(holdTime(extra, c.key, seed))}
+		until := c.latest.Add(holdTime(c.crashes-threshold, c.key, seed))
+		holds[c.key] = Hold{Suspect: Suspect{Key: c.key, Part: c.record.part}, Crashes: c.crashes, Until: until}
 	}
 	return holds
 }
@@ -50,8 +51,8 @@
 		if len(r.crashes) < r.threshold() {
 			continue
 		}
-		if n, _ := r.count(nil, now); n >= r.threshold() {
-			list = append(list, candidate{key: key, record: r, crashes: n})
+		if n, latest := r.count(nil, now); n >= r.threshold() {
+			list = append(list, candidate{key: key, record: r, crashes: n, latest: latest})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
--- a/internal/traffic/nutmegsuspect/model_test.go
+++ b/internal/traffic/nutmegsuspect/model_test.go
@@ -402,3 +402,11 @@
 		}
 	}
 }
+
+// TestGuiltyFirstPartWithExplainedCrashesInFleet guards against a guilty first part
+// that is tried too early, at many instances at once, because deeper parts explain
+// some of its crashes. Seed 468 found it.
+func TestGuiltyFirstPartWithExplainedCrashesInFleet(t *testing.T) {
+	cfg := modelConfig{seed: 468, instances: 40, upstreams: 30, arrival: newPromptLoad(0), rate: 0.4, allowedCrashes: 5}
+	newModel(cfg).run().check(t, "seed 468")
+}
