--- a/nutmegnode/answers_test.go
+++ b/nutmegnode/answers_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
@@ -31,7 +32,7 @@
 	if ctx.Err() != nil {
 		t.Errorf("the answer was cancelled: %v", context.Cause(ctx))
 	}
-	a.detach(0)
+	a.detach(time.Hour) // its own timer must not run onUnread again
 	if !a.cancelUnread(errTestUnread) || !errors.Is(context.Cause(ctx), errTestUnread) {
 		t.Errorf("the unread answer was not cancelled: %v", context.Cause(ctx))
 	}
