--- a/internal/fleet/nutmegview/upstream.go
+++ b/internal/fleet/nutmegview/upstream.go
@@ -1,6 +1,7 @@
 package nutmegview
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
@@ -22,6 +23,14 @@
 	StartedAt time.Time
 }
 
+// Process identifies one process of an upstream.
+type Process string
+
+// Process returns the process that the upstream's entry describes.
+func (u Upstream) Process() Process {
+	return Process(fmt.Sprintf("%s@%d", u.ID, u.StartedAt.UnixMilli()))
+}
+
 // Instance is an instance of this fleet, as registered in the store.
 type Instance struct {
 	Name          nutmegid.Instance      `json:"name"`
--- a/internal/traffic/nutmegplace/candidate.go
+++ b/internal/traffic/nutmegplace/candidate.go
@@ -159,7 +159,7 @@
 
 // sameProcess reports whether u is the same process as c.
 func (c *candidate) sameProcess(u nutmegview.Upstream) bool {
-	return c.Address == u.Address && c.StartedAt.Equal(u.StartedAt) && c.Service == u.Service
+	return c.Process() == u.Process() && c.Address == u.Address && c.Service == u.Service
 }
 
 // name returns the key for rendezvous hashing.
--- a/internal/traffic/nutmegsuspect/judge.go
+++ b/internal/traffic/nutmegsuspect/judge.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 )
 
 // candidate is a suspect with enough crashes to be held back, unless another one
@@ -28,7 +30,7 @@
 // first.
 func judge(records map[Key]*record, seed string, now time.Time) map[Key]Hold {
 	holds := make(map[Key]Hold)
-	explained := make(map[Process]bool)
+	explained := make(map[nutmegview.Process]bool)
 	for _, c := range candidates(records, now) {
 		threshold := c.record.threshold()
 		if n, _ := c.record.count(explained, now); n < threshold {
@@ -62,7 +64,7 @@
 }
 
 // explain adds the crashes that count against the candidate.
-func (c candidate) explain(explained map[Process]bool, now time.Time) {
+func (c candidate) explain(explained map[nutmegview.Process]bool, now time.Time) {
 	for p := range c.record.crashes {
 		if c.record.counts(p, now) {
 			explained[p] = true
--- a/internal/traffic/nutmegsuspect/record.go
+++ b/internal/traffic/nutmegsuspect/record.go
@@ -1,17 +1,21 @@
 package nutmegsuspect
 
-import "time"
+import (
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+)
 
 // record holds what is known of one suspect.
 type record struct {
-	part      int                   // as in Suspect
-	crashes   map[Process]time.Time // when each process ended
-	acquitted map[Process]bool      // processes whose end does not count
+	part      int                              // as in Suspect
+	crashes   map[nutmegview.Process]time.Time // when each process ended
+	acquitted map[nutmegview.Process]bool      // processes whose end does not count
 	updatedAt time.Time
 }
 
 func newRecord(part int) *record {
-	return &record{part: part, crashes: make(map[Process]time.Time), acquitted: make(map[Process]bool)}
+	return &record{part: part, crashes: make(map[nutmegview.Process]time.Time), acquitted: make(map[nutmegview.Process]bool)}
 }
 
 // threshold returns how many processes must end before the suspect is held back.
@@ -23,7 +27,7 @@
 }
 
 // addCrash adds the end of a process. Of several times for it the earliest counts.
-func (r *record) addCrash(p Process, at, now time.Time) {
+func (r *record) addCrash(p nutmegview.Process, at, now time.Time) {
 	if known, ok := r.crashes[p]; !ok || at.Before(known) {
 		r.crashes[p] = at
 	}
@@ -31,14 +35,14 @@
 }
 
 // counts reports whether the end of a process counts against the suspect.
-func (r *record) counts(p Process, now time.Time) bool {
+func (r *record) counts(p nutmegview.Process, now time.Time) bool {
 	at, crashed := r.crashes[p]
 	return crashed && !r.acquitted[p] && now.Sub(at) <= ReportLifetime
 }
 
 // count returns the number of crashes that count, and the time of the latest one.
 // Those in explained are left out.
-func (r *record) count(explained map[Process]bool, now time.Time) (int, time.Time) {
+func (r *record) count(explained map[nutmegview.Process]bool, now time.Time) (int, time.Time) {
 	var latest time.Time
 	n := 0
 	for p, at := range r.crashes {
@@ -54,7 +58,7 @@
 }
 
 // acquit stops counting the end of a process.
-func (r *record) acquit(p Process, now time.Time) {
+func (r *record) acquit(p nutmegview.Process, now time.Time) {
 	r.acquitted[p] = true
 	r.updatedAt = now
 }
--- a/internal/traffic/nutmegsuspect/report.go
+++ b/internal/traffic/nutmegsuspect/report.go
@@ -8,14 +8,6 @@
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
-// Process identifies one process of an upstream.
-type Process string
-
-// ProcessOf returns the process that an upstream's entry describes.
-func ProcessOf(u nutmegview.Upstream) Process {
-	return Process(fmt.Sprintf("%s@%d", u.ID, u.StartedAt.UnixMilli()))
-}
-
 // Suspect is something that requests have in common, under which a process ended.
 type Suspect struct {
 	Key Key `json:"key"`
@@ -35,7 +27,7 @@
 // Report lists the suspects of one instance at the end of a process. A later report
 // of the same reporter on the same process has all suspects of the earlier ones.
 type Report struct {
-	Process  Process              `json:"process"`
+	Process  nutmegview.Process   `json:"process"`
 	Reporter nutmegid.Incarnation `json:"reporter"`
 	EndedAt  time.Time            `json:"ended_at"`
 	Suspects []Suspect            `json:"suspects"`
@@ -45,5 +37,5 @@
 // upstreams have answered such requests.
 type Acquittal struct {
 	Suspect
-	Process Process `json:"process"`
+	Process nutmegview.Process `json:"process"`
 }
--- a/internal/traffic/nutmegsuspect/snapshot.go
+++ b/internal/traffic/nutmegsuspect/snapshot.go
@@ -5,12 +5,14 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 )
 
 // Conviction is a suspect that is held back, with the crashes that led to it.
 type Conviction struct {
 	Suspect
-	Crashes map[Process]time.Time `json:"crashes"` // when each process ended
+	Crashes map[nutmegview.Process]time.Time `json:"crashes"` // when each process ended
 }
 
 // latest returns the time of the latest crash.
@@ -36,7 +38,7 @@
 			continue
 		}
 		c := Conviction{Suspect: hold.Suspect, Crashes: maps.Clone(r.crashes)}
-		maps.DeleteFunc(c.Crashes, func(p Process, _ time.Time) bool { return !r.counts(p, now) })
+		maps.DeleteFunc(c.Crashes, func(p nutmegview.Process, _ time.Time) bool { return !r.counts(p, now) })
 		list = append(list, c)
 	}
 	return list
@@ -70,7 +72,7 @@
 	for _, c := range slices.Concat(earlier, own) {
 		merged, ok := byKey[c.Key]
 		if !ok {
-			merged = Conviction{Suspect: c.Suspect, Crashes: make(map[Process]time.Time)}
+			merged = Conviction{Suspect: c.Suspect, Crashes: make(map[nutmegview.Process]time.Time)}
 			byKey[c.Key] = merged
 		}
 		for p, at := range c.Crashes {
--- a/internal/traffic/nutmegsuspect/snapshot_test.go
+++ b/internal/traffic/nutmegsuspect/snapshot_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 )
 
 // stored returns a snapshot as it comes back from the store.
@@ -63,9 +65,9 @@
 	var earlier []Conviction
 	for n := range 2 * maxConvictions {
 		at := f.now.Add(-time.Duration(n) * time.Second)
-		earlier = append(earlier, Conviction{Suspect: Suspect{Key: hashKey([]byte(fmt.Sprint(n)))}, Crashes: map[Process]time.Time{"u": at}})
+		earlier = append(earlier, Conviction{Suspect: Suspect{Key: hashKey([]byte(fmt.Sprint(n)))}, Crashes: map[nutmegview.Process]time.Time{"u": at}})
 	}
-	earlier = append(earlier, Conviction{Suspect: Suspect{Key: hashKey([]byte("old"))}, Crashes: map[Process]time.Time{"u": f.now.Add(-2 * ReportLifetime)}})
+	earlier = append(earlier, Conviction{Suspect: Suspect{Key: hashKey([]byte("old"))}, Crashes: map[nutmegview.Process]time.Time{"u": f.now.Add(-2 * ReportLifetime)}})
 	got := f.MergeSnapshot(earlier)
 	if diff := cmp.Diff(earlier[:maxConvictions], got); diff != "" {
 		t.Errorf("the latest suspects (-want +got):\n%s", diff)
--- a/internal/traffic/nutmegsuspect/tracker.go
+++ b/internal/traffic/nutmegsuspect/tracker.go
@@ -50,7 +50,7 @@
 	mu       sync.Mutex
 	records  map[Key]*record
 	holds    map[Key]Hold
-	reports  map[Process]*Report // made by this tracker
+	reports  map[nutmegview.Process]*Report // made by this tracker
 	contents answers
 	parts    answers
 	forgotAt time.Time // when old records were removed
@@ -73,7 +73,7 @@
 	if cfg.OnChange == nil {
 		cfg.OnChange = func() {}
 	}
-	return &Tracker{cfg: cfg, records: make(map[Key]*record), reports: make(map[Process]*Report)}
+	return &Tracker{cfg: cfg, records: make(map[Key]*record), reports: make(map[nutmegview.Process]*Report)}
 }
 
 // suspectsOf returns what a call may have in common with others: its content and
@@ -119,7 +119,7 @@
 		t.mu.Unlock()
 		return
 	}
-	report, changed := t.addToReport(ProcessOf(u), suspects, now)
+	report, changed := t.addToReport(u.Process(), suspects, now)
 	news := t.count(report, now)
 	t.mu.Unlock()
 	if changed {
@@ -142,8 +142,8 @@
 
 // addToReport adds suspects to this tracker's report on a process. It returns a
 // copy of the report, and whether it has changed. The caller holds mu.
-func (t *Tracker) addToReport(p Process, suspects []Suspect, now time.Time) (Report, bool) {
-	maps.DeleteFunc(t.reports, func(_ Process, r *Report) bool { return now.Sub(r.EndedAt) > ReportLifetime })
+func (t *Tracker) addToReport(p nutmegview.Process, suspects []Suspect, now time.Time) (Report, bool) {
+	maps.DeleteFunc(t.reports, func(_ nutmegview.Process, r *Report) bool { return now.Sub(r.EndedAt) > ReportLifetime })
 	report, ok := t.reports[p]
 	for ok && now.Sub(report.EndedAt) > restartGap {
 		// The upstream has started again under its id, and its entry is out of date.
--- a/internal/traffic/nutmegsuspect/tracker_test.go
+++ b/internal/traffic/nutmegsuspect/tracker_test.go
@@ -81,7 +81,7 @@
 	}
 	other := newFixture("four")
 	other.MergeReport(one.reports[0])
-	other.MergeReport(Report{Process: ProcessOf(process("u", 1)), Reporter: "two", EndedAt: one.now, Suspects: suspectsOf(c)})
+	other.MergeReport(Report{Process: process("u", 1).Process(), Reporter: "two", EndedAt: one.now, Suspects: suspectsOf(c)})
 	if other.held(c) {
 		t.Errorf("one process counts twice because two instances reported it")
 	}
@@ -258,7 +258,7 @@
 	f.Add(int64(1), []byte("0123456789abcdef0123456789abcdef"))
 	f.Fuzz(func(t *testing.T, ended int64, raw []byte) {
 		tracker := newFixture("one")
-		r := Report{Process: Process(raw), EndedAt: time.UnixMilli(ended)}
+		r := Report{Process: nutmegview.Process(raw), EndedAt: time.UnixMilli(ended)}
 		for len(raw) >= len(Key{}) {
 			r.Suspects = append(r.Suspects, Suspect{Key: Key(raw[:len(Key{})]), Part: int(raw[0]) - 1})
 			raw = raw[len(Key{}):]
