Log the rate limits that upstreams state in their answers

Now the adapter decodes the header once, nutmegnotice keeps it by process, and a line upstream_rate_limit says when a limit is stated, changed by more than a tenth, or ended, with the request whose answer states it. Nothing acts on it yet. What values that are no plain number mean is tested in the adapter.

--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -35,6 +35,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegretry"
@@ -93,6 +94,7 @@
 	meter            *nutmegmeter.Meter
 	suspects         *nutmegsuspect.Tracker
 	suspectStore     *suspectStore
+	notices          *nutmegnotice.Tracker
 	relay            *nutmegrelay.Relay
 
 	callers       *nutmegserve.Server
@@ -131,6 +133,7 @@
 	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.overload = &overload{entry: e, done: make(chan struct{})}
 	e.buildSuspects()
+	e.buildNotices()
 	e.buildStore()
 	e.buildTraffic()
 	return e, nil
@@ -191,7 +194,7 @@
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
 	e.relay = nutmegrelay.New(nutmegrelay.Config{
-		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects,
+		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, RateLimits: rateLimits{e},
 		Instances: e.roster.Count, OnDecision: e.relayDecided, Elapsed: e.uptime,
 	})
 	e.view.OnConfig(e.placer.SetConfig)
--- /dev/null
+++ b/internal/traffic/nutmegnotice/defaults.go
@@ -0,0 +1,12 @@
+package nutmegnotice
+
+import "time"
+
+const (
+	maxRecords = 16_384 // processes whose statements are kept
+	// retention is how long the statement of a process is kept that is no longer
+	// listed: its entry may only have lapsed.
+	retention = time.Minute
+	// reportedChange is the least relative change of a rate that is reported.
+	reportedChange = 0.1
+)
--- /dev/null
+++ b/internal/traffic/nutmegnotice/tracker_test.go
@@ -0,0 +1,109 @@
+package nutmegnotice
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// process returns an upstream that started at a time in seconds.
+func process(id nutmegid.Upstream, start int64) nutmegview.Upstream {
+	return nutmegview.Upstream{ID: id, StartedAt: time.Unix(start, 0)}
+}
+
+func limited(r Rate) Notice {
+	return Notice{RateLimit: &r, Success: true}
+}
+
+// TestNewestAnswerCounts guards against limits that outlive the answers that state
+// them, and against errors and unreadable values that end them.
+func TestNewestAnswerCounts(t *testing.T) {
+	u := process("u", 1)
+	var changes []Change
+	tracker := NewTracker(Config{OnChange: func(c Change) { changes = append(changes, c) }})
+	failed := limited(2)
+	failed.Success = false
+	steps := []struct {
+		notice Notice
+		want   Rate // -1 for no limit
+	}{
+		{Notice{Success: true}, -1},
+		{failed, 2},
+		{Notice{}, 2},
+		{Notice{Success: true, Unclear: true}, 2},
+		{limited(2.1), 2.1},
+		{limited(9), 9},
+		{limited(0), 0},
+		{Notice{Success: true}, -1},
+	}
+	for n, s := range steps {
+		tracker.Record(u, nutmegid.RequestID(fmt.Sprint(n)), s.notice, time.Duration(n))
+		limit, ok := tracker.RateLimit(u)
+		if !ok {
+			limit.Rate = -1
+		}
+		if limit.Rate != s.want {
+			t.Errorf("step %d: limit %g; want %g", n, limit.Rate, s.want)
+		}
+	}
+	p := u.Process()
+	want := []Change{
+		{Kind: ChangeStated, Process: p, After: 2, Request: "1"},
+		{Kind: ChangeMoved, Process: p, Before: 2, After: 9, Request: "5"},
+		{Kind: ChangeMoved, Process: p, Before: 9, After: 0, Request: "6"},
+		{Kind: ChangeEnded, Process: p, Request: "7"},
+	}
+	if diff := cmp.Diff(want, changes); diff != "" {
+		t.Errorf("changes (-want +got):\n%s", diff)
+	}
+}
+
+// TestNewProcessHasNoLimit guards against a limit that an upstream's next process
+// inherits.
+func TestNewProcessHasNoLimit(t *testing.T) {
+	tracker := NewTracker(Config{})
+	tracker.Record(process("u", 1), "a", limited(1), 0)
+	if _, ok := tracker.RateLimit(process("u", 2)); ok {
+		t.Error("the next process has the limit of the one before")
+	}
+}
+
+// TestLapsedEntryKeepsItsLimit guards against an upstream whose entry is gone for a
+// moment, as in an outage of the store, and that counts as unlimited afterwards.
+func TestLapsedEntryKeepsItsLimit(t *testing.T) {
+	u := process("u", 1)
+	tracker := NewTracker(Config{})
+	tracker.Record(u, "a", limited(1), 0)
+	none := &nutmegview.Upstreams{}
+	tracker.Forget(none, retention)
+	if _, ok := tracker.RateLimit(u); !ok {
+		t.Error("the limit is forgotten within its retention")
+	}
+	listed := &nutmegview.Upstreams{ByID: map[nutmegid.Upstream]nutmegview.Upstream{"u": u}}
+	tracker.Forget(listed, time.Hour)
+	if _, ok := tracker.RateLimit(u); !ok {
+		t.Error("the limit of a listed process is forgotten")
+	}
+	tracker.Forget(none, retention+1)
+	if n := tracker.Count(); n != 0 {
+		t.Errorf("%d limits are kept of processes that are gone", n)
+	}
+}
+
+func TestNumberOfLimitsIsBounded(t *testing.T) {
+	tracker := NewTracker(Config{})
+	for n := range int64(maxRecords + 10) {
+		tracker.Record(process("u", n), "a", limited(1), time.Duration(n))
+	}
+	if n := tracker.Count(); n != maxRecords {
+		t.Errorf("%d limits are kept; want %d", n, maxRecords)
+	}
+	if _, ok := tracker.RateLimit(process("u", maxRecords+9)); !ok {
+		t.Error("the newest limit is not kept")
+	}
+}
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -230,6 +230,9 @@
 	e.sent++
 	e.outcome.Attempts = e.sent
 	info := e.info
+	if !info.Misdirected {
+		cfg.RateLimits.Record(e.call, p.Upstream, info.Notice)
+	}
 	if info.Load != nil {
 		cfg.Placer.ReportLoad(p, *info.Load, cfg.Elapsed())
 	}
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -25,6 +25,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegretry"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
@@ -55,6 +56,7 @@
 	NotRun      bool               // the upstream has not run the request and never will
 	Misdirected bool               // another upstream now uses the address
 	Load        *nutmegplace.Load  // nil if not stated
+	Notice      nutmegnotice.Notice
 }
 
 // Sink receives the response to a call and sends it to the caller.
@@ -95,6 +97,19 @@
 	Answered(call *nutmegcall.Call)
 }
 
+// RateLimits keeps the rate of requests to each upstream within the limit that the
+// upstream states.
+type RateLimits interface {
+	// Record stores what the answer to a call states about its upstream.
+	Record(call *nutmegcall.Call, u nutmegview.Upstream, n nutmegnotice.Notice)
+}
+
+// noRateLimits ignores what upstreams state.
+type noRateLimits struct{}
+
+// Record implements RateLimits.
+func (noRateLimits) Record(*nutmegcall.Call, nutmegview.Upstream, nutmegnotice.Notice) {}
+
 // Decision is a step in the handling of a call, for the event log.
 type Decision struct {
 	Kind     DecisionKind
@@ -133,6 +148,7 @@
 	Retries    *nutmegretry.Budget
 	View       *nutmegview.View
 	Suspects   Suspects                             // of this instance alone when nil
+	RateLimits RateLimits                           // none are heeded when nil
 	Instances  func() int                           // number of instances that share the retry budget; 1 when nil
 	OnDecision func(c *nutmegcall.Call, d Decision) // called for each decision; may be nil
 	Now        func() time.Time                     // time.Now when nil
@@ -159,6 +175,9 @@
 	if cfg.Suspects == nil {
 		cfg.Suspects = nutmegsuspect.NewTracker(nutmegsuspect.Config{Now: cfg.Now})
 	}
+	if cfg.RateLimits == nil {
+		cfg.RateLimits = noRateLimits{}
+	}
 	if cfg.Instances == nil {
 		cfg.Instances = func() int { return 1 }
 	}
