Permit requests to upstreams within the rate that they state, over the fleet

Callers saw nothing of it; upstreams that had stated a limit of 1.2 and 1 requests a second got 15 and 14 in 4 s (12 and 11 are allowed), as many as before they stated it.

Evidence: the rate does not fall after 8.0 s at any instance, no request was sent twice, and the new log lines show the limit at each instance of the failing test.

Class: a statement of an upstream about itself, made in an answer, has to hold for all later requests of all instances, but answers were used for their own request only.

Why this fix works: before each attempt, also a retry or resumption, the instance asks the home of the limit (rendezvous over the instances) for a permit, so that one bucket counts for all. Homes permit 0.9 and, as the second in order, 0.2 of the rate, with bursts bounded so that a first home and two others together stay within the users' bound. An instance with a new name is no first home for 20 s, by which time all know it. Denied askers are each told another time to return. Where no upstream may be used, the caller is refused at once, as not run.

The model in nutmegpermit plays 7, 95 and 450 instances with limits of 0.2 to 200, lost messages, restarts, freezes, joins and changing limits; it fails instances that count alone.

--- a/internal/fleet/nutmegroster/homes.go
+++ b/internal/fleet/nutmegroster/homes.go
@@ -60,25 +60,30 @@
 // ranksByDomain returns the failure domains in rank order for a shard, each with
 // its instances in rank order. The result is cached until the list of instances changes.
 func (r *Roster) ranksByDomain(shard string) [][]*nutmegview.Instance {
-	known := r.known.Load()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.ranked != known {
-		r.ranked = known
-		clear(r.ranks)
-	}
+	all := r.rankedInstances()
 	ranks, ok := r.ranks[shard]
 	if !ok {
-		all := []*nutmegview.Instance{&r.cfg.Self}
-		if known != nil {
-			all = append(all, pointers(*known)...)
-		}
 		ranks = rankDomains(shard, all)
 		r.ranks[shard] = ranks
 	}
 	return ranks
 }
 
+// rankedInstances returns all instances, this one included. It clears the cached
+// orders if the list has changed. The caller must hold mu.
+func (r *Roster) rankedInstances() []*nutmegview.Instance {
+	known := r.known.Load()
+	if r.all == nil || r.ranked != known {
+		r.ranked = known
+		clear(r.ranks)
+		clear(r.limitHomes)
+		r.all = append(pointers(r.others()), &r.cfg.Self)
+	}
+	return r.all
+}
+
 // responsive returns the instances that are not being skipped for failed calls.
 func (r *Roster) responsive(list []*nutmegview.Instance) []*nutmegview.Instance {
 	now := time.Now()
--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -27,6 +27,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegpermit"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
@@ -47,7 +48,8 @@
 	skipDuration    = 3 * time.Second  // how long a peer is skipped after failed calls
 	// maxFailures is the number of consecutive failures after which a timeout causes a
 	// peer to be skipped; other errors do so at once.
-	maxFailures = 3
+	maxFailures   = 3
+	maxLimitHomes = 4096 // rate limits whose homes are cached
 )
 
 // Config configures a roster.
@@ -61,6 +63,8 @@
 	ChangeFeed   nutmegpeer.ChangeFeed    // serves changes of the store to peers
 	// Reservations handles reservations made by peers.
 	Reservations nutmegpeer.ReservationHandler
+	// Permits permits requests of peers to upstreams that state rate limits.
+	Permits nutmegpeer.PermitHandler
 	// OnPanic is called when the handler of a peer's call has panicked.
 	OnPanic func(method string, cause any, stack []byte)
 	// Items are the kinds of gossip items that instances exchange.
@@ -88,14 +92,20 @@
 	// shards is the number of store objects that budgets are sharded over, 0 until
 	// it is known.
 	shards atomic.Int32
-	done   chan struct{}
+	// refreshed says that the list of instances has been read; settledAt is the time
+	// from which all others know this instance. It is written before refreshed.
+	refreshed atomic.Bool
+	settledAt time.Time
+	done      chan struct{}
 
 	mu     sync.Mutex
 	health map[nutmegid.Incarnation]peerHealth
-	// ranks caches, per shard and failure domain, the order of the instances in
-	// ranked.
-	ranks  map[string][][]*nutmegview.Instance
-	ranked *[]nutmegview.Instance
+	// ranks caches, per shard and failure domain, the order of the instances in all;
+	// limitHomes caches the homes of rate limits.
+	ranks      map[string][][]*nutmegview.Instance
+	limitHomes map[nutmegview.Process][]*nutmegview.Instance
+	all        []*nutmegview.Instance
+	ranked     *[]nutmegview.Instance // the value of known from which all was made
 }
 
 // peerHealth records failed calls to a peer.
@@ -112,6 +122,7 @@
 	return &Roster{
 		cfg: cfg, done: make(chan struct{}),
 		health: make(map[nutmegid.Incarnation]peerHealth), ranks: make(map[string][][]*nutmegview.Instance),
+		limitHomes: make(map[nutmegview.Process][]*nutmegview.Instance),
 	}
 }
 
@@ -171,7 +182,11 @@
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
 	key := nutmegstore.Key{Kind: instanceKind, Name: string(r.cfg.Self.Name)}
+	r.settledAt = time.Now().Add(nutmegpermit.SettleTime)
 	_, err := nutmegstore.Update(ctx, r.cfg.Writer, key, func(body *nutmegview.Instance) error {
+		if body.Name != "" && body.Incarnation != r.cfg.Self.Incarnation {
+			r.settledAt = time.Now() // the others know the name from an earlier start
+		}
 		*body = r.cfg.Self
 		return nil
 	})
@@ -231,6 +246,7 @@
 		ChangeFeed:   r.cfg.ChangeFeed,
 		OnPanic:      r.cfg.OnPanic,
 		Reservations: r.cfg.Reservations,
+		Permits:      r.cfg.Permits,
 		Metrics:      r.cfg.Metrics,
 	})
 	for kind, rule := range r.cfg.Items {
@@ -253,6 +269,7 @@
 		r.cfg.Log.WithField("event", "instances_unknown").WithError(err).Info("cannot read the list of instances; keeping the previous one")
 		return
 	}
+	defer r.refreshed.Store(true)
 	var list []nutmegview.Instance
 	for _, o := range objects {
 		doc, err := nutmegstore.Decode[nutmegview.Instance](o)
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -38,5 +38,7 @@
 	maxSuspectItemBytes   = 3 << 10                 // of a gossip item about suspects
 	suspectsStoreTimeout  = 1200 * time.Millisecond // for one read or write of the suspects
 	suspectsRetryInterval = time.Second
+	permitTimeout         = 120 * time.Millisecond // of a question to the home of a rate limit
+	permitRetryInterval   = 500 * time.Millisecond // until a home that has not answered is asked again
 	feedMargin            = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
 )
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -36,6 +36,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegpermit"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegretry"
@@ -95,6 +96,7 @@
 	suspects         *nutmegsuspect.Tracker
 	suspectStore     *suspectStore
 	notices          *nutmegnotice.Tracker
+	granter          *nutmegpermit.Granter
 	relay            *nutmegrelay.Relay
 
 	callers       *nutmegserve.Server
@@ -169,7 +171,7 @@
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
 		Client: e.client, Writer: e.writer, Dial: e.dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
-		Budgets: budgetServer{e}, Reservations: reservationServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: e.peersStarted, Items: e.suspectItems(),
+		Budgets: budgetServer{e}, Reservations: reservationServer{e}, Permits: permitServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: e.peersStarted, Items: e.suspectItems(),
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
 			Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps,
--- a/internal/instance/nutmegentry/errors.go
+++ b/internal/instance/nutmegentry/errors.go
@@ -23,6 +23,7 @@
 }
 
 var (
-	errStopped    = errors.New("the instance has stopped")
-	errNoSegments = errors.New("the configuration is one piece here; fetch the revision")
+	errStopped      = errors.New("the instance has stopped")
+	errNoPermitHome = errors.New("no home of the rate limit has answered lately")
+	errNoSegments   = errors.New("the configuration is one piece here; fetch the revision")
 )
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -128,6 +128,9 @@
 	if d.Err != nil {
 		entry = entry.WithError(d.Err)
 	}
+	if d.Detail != "" {
+		entry = entry.WithField("detail", d.Detail)
+	}
 	if d.Kind == nutmegrelay.DecisionUpstreamEnded {
 		entry = entry.WithFields(logrus.Fields{"content": d.Content, "parts": d.Parts, "events": d.Events, "begun": d.Begun})
 	}
--- a/internal/instance/nutmegentry/rate_limits.go
+++ b/internal/instance/nutmegentry/rate_limits.go
@@ -1,15 +1,26 @@
 package nutmegentry
 
 import (
+	"context"
+	"fmt"
+
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegpermit"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
+	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 )
 
+func (e *Entry) buildNotices() {
+	e.notices = nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: e.rateLimitChanged})
+	e.granter = nutmegpermit.NewGranter()
+	e.view.OnUpstreams(func(set *nutmegview.Upstreams) { e.notices.Forget(set, e.uptime()) })
+}
+
 // rateLimits implements nutmegrelay.RateLimits.
 type rateLimits struct {
 	entry *Entry
@@ -26,9 +37,65 @@
 	e.notices.Record(u, call.ID, n, e.uptime())
 }
 
-func (e *Entry) buildNotices() {
-	e.notices = nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: e.rateLimitChanged})
-	e.view.OnUpstreams(func(set *nutmegview.Upstreams) { e.notices.Forget(set, e.uptime()) })
+// Permit implements nutmegrelay.RateLimits. It asks the home of the upstream's limit,
+// if there is a limit.
+func (l rateLimits) Permit(ctx context.Context, u nutmegview.Upstream) nutmegrelay.Permit {
+	e := l.entry
+	limit, limited := e.notices.RateLimit(u)
+	if !limited {
+		return nutmegrelay.Permit{Granted: true}
+	}
+	age := e.uptime() - limit.HeardAt
+	home, reply, err := e.askPermit(ctx, nutmegpermit.Request{Process: u.Process(), Rate: limit.Rate, Age: age})
+	if err != nil {
+		e.count("permits_unanswered")
+		return nutmegrelay.Permit{Wait: permitRetryInterval, Detail: fmt.Sprintf("home %q of the limit of %g requests/s has not answered: %v", home, limit.Rate, err)}
+	}
+	if !reply.Permitted {
+		e.count("permits_denied")
+		return nutmegrelay.Permit{
+			Wait:   reply.Wait,
+			Detail: fmt.Sprintf("home %q has no permit for %d ms: the limit is %g requests/s, heard %d ms ago", home, reply.Wait.Milliseconds(), limit.Rate, age.Milliseconds()),
+		}
+	}
+	e.count("permits_granted")
+	return nutmegrelay.Permit{Granted: true}
+}
+
+// askPermit asks the home of a limit, which may be this instance.
+func (e *Entry) askPermit(ctx context.Context, r nutmegpermit.Request) (string, nutmegpermit.Reply, error) {
+	home, ok := e.roster.PermitHome(r.Process)
+	if !ok {
+		return "", nutmegpermit.Reply{}, errNoPermitHome
+	}
+	name := string(home.Name)
+	if home.Incarnation == e.incarnation {
+		return name, e.grantPermit(r), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
+	defer cancel()
+	reply, err := e.roster.Permit(ctx, home, nutmegpeer.PermitRequest{Process: string(r.Process), Rate: float64(r.Rate), Age: r.Age})
+	return name, nutmegpermit.Reply(reply), err
+}
+
+// grantPermit answers for the limits of which this instance is a home.
+func (e *Entry) grantPermit(r nutmegpermit.Request) nutmegpermit.Reply {
+	share := nutmegpermit.ShareOf(e.roster.IsFirstPermitHome(r.Process))
+	return e.granter.Ask(r, share, e.uptime())
+}
+
+// permitServer permits requests of peers.
+type permitServer struct {
+	entry *Entry
+}
+
+// Permit implements nutmegpeer.PermitHandler.
+func (s permitServer) Permit(req nutmegpeer.PermitRequest) nutmegpeer.PermitReply {
+	reply := s.entry.grantPermit(nutmegpermit.Request{
+		Process: nutmegview.Process(req.Process), Rate: nutmegnotice.Rate(req.Rate), Age: req.Age,
+	})
+	s.entry.count("permits_asked_by_peers")
+	return nutmegpeer.PermitReply(reply)
 }
 
 // rateLimitChanged logs that an upstream states a rate limit, another one, or none
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -119,6 +119,7 @@
 	ReasonBudgetUnreachable  Reason = "budget_unreachable"
 	ReasonNoUpstream         Reason = "no_upstream"
 	ReasonOverloaded         Reason = "overloaded"
+	ReasonRateLimited        Reason = "rate_limited" // by the upstreams' own rate limits
 	ReasonRefusedByUpstreams Reason = "refused_by_upstreams"
 	ReasonQuarantined        Reason = "quarantined"
 	ReasonDeadlineExceeded   Reason = "deadline_passed"
--- a/internal/traffic/nutmegnotice/tracker_test.go
+++ b/internal/traffic/nutmegnotice/tracker_test.go
@@ -12,8 +12,8 @@
 )
 
 // process returns an upstream that started at a time in seconds.
-func process(id nutmegid.Upstream, start int64) nutmegview.Upstream {
-	return nutmegview.Upstream{ID: id, StartedAt: time.Unix(start, 0)}
+func process(start int64) nutmegview.Upstream {
+	return nutmegview.Upstream{ID: "u", StartedAt: time.Unix(start, 0)}
 }
 
 func limited(r Rate) Notice {
@@ -23,7 +23,7 @@
 // TestNewestAnswerCounts guards against limits that outlive the answers that state
 // them, and against errors and unreadable values that end them.
 func TestNewestAnswerCounts(t *testing.T) {
-	u := process("u", 1)
+	u := process(1)
 	var changes []Change
 	tracker := NewTracker(Config{OnChange: func(c Change) { changes = append(changes, c) }})
 	failed := limited(2)
@@ -67,8 +67,8 @@
 // inherits.
 func TestNewProcessHasNoLimit(t *testing.T) {
 	tracker := NewTracker(Config{})
-	tracker.Record(process("u", 1), "a", limited(1), 0)
-	if _, ok := tracker.RateLimit(process("u", 2)); ok {
+	tracker.Record(process(1), "a", limited(1), 0)
+	if _, ok := tracker.RateLimit(process(2)); ok {
 		t.Error("the next process has the limit of the one before")
 	}
 }
@@ -76,7 +76,7 @@
 // TestLapsedEntryKeepsItsLimit guards against an upstream whose entry is gone for a
 // moment, as in an outage of the store, and that counts as unlimited afterwards.
 func TestLapsedEntryKeepsItsLimit(t *testing.T) {
-	u := process("u", 1)
+	u := process(1)
 	tracker := NewTracker(Config{})
 	tracker.Record(u, "a", limited(1), 0)
 	none := &nutmegview.Upstreams{}
@@ -98,12 +98,12 @@
 func TestNumberOfLimitsIsBounded(t *testing.T) {
 	tracker := NewTracker(Config{})
 	for n := range int64(maxRecords + 10) {
-		tracker.Record(process("u", n), "a", limited(1), time.Duration(n))
+		tracker.Record(process(n), "a", limited(1), time.Duration(n))
 	}
 	if n := tracker.Count(); n != maxRecords {
 		t.Errorf("%d limits are kept; want %d", n, maxRecords)
 	}
-	if _, ok := tracker.RateLimit(process("u", maxRecords+9)); !ok {
+	if _, ok := tracker.RateLimit(process(maxRecords + 9)); !ok {
 		t.Error("the newest limit is not kept")
 	}
 }
--- /dev/null
+++ b/internal/traffic/nutmegpermit/defaults.go
@@ -0,0 +1,31 @@
+package nutmegpermit
+
+import "time"
+
+// SettleTime is how long an instance with a new name has to be up before all others
+// know it. Until then another one may act as the first home in its place. A restarted
+// instance keeps its name, and with it its place in the order.
+const SettleTime = 20 * time.Second
+
+const (
+	homeCount = 2 // homes of one limit, in order
+
+	// The shares of homes: a first one and two others together stay within one and a
+	// half times the stated rate, also when requests arrive late in bursts.
+	firstRate      = 0.9
+	firstBurst     = 1.5
+	firstRateBurst = 0.2
+	otherRate      = 0.2
+	otherBurst     = 1.0
+	otherRateBurst = 0.05
+
+	// minRate is permitted also if an upstream states less, so that it is noticed when
+	// it takes requests again. In requests per second.
+	minRate = 0.05
+
+	minWait = 20 * time.Millisecond // before a denied instance asks again
+	maxWait = 5 * time.Second
+
+	maxBuckets   = 16_384      // processes for which a home counts
+	bucketExpiry = time.Minute // since the last request for a permit
+)
--- /dev/null
+++ b/internal/traffic/nutmegpermit/model_test.go
@@ -0,0 +1,487 @@
+package nutmegpermit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// The users' bound on requests to an upstream that states a rate limit.
+const (
+	window    = 4 * time.Second
+	factor    = 1.5                    // times what the limit allows in a window
+	allowance = 5                      // further requests in a window
+	settling  = 3 * time.Second        // from the first answer that states the limit
+	toldDelay = 500 * time.Millisecond // until an instance is bound by an answer that it has had
+	// usedShare is the least share of a limit that is used while callers are refused,
+	// without disturbances.
+	usedShare = 0.8
+)
+
+// The simulated network and fleet.
+const (
+	modelLength   = 90 * time.Second
+	messageTime   = 10 * time.Millisecond // the longest time of a message
+	messageLoss   = 0.02
+	callTimeout   = 250 * time.Millisecond
+	runTime       = 300 * time.Millisecond // the longest time of a request at an upstream
+	refreshTime   = 15 * time.Second       // the longest time until an instance learns of a new one
+	lateArrival   = 600 * time.Millisecond // of one request in a hundred
+	unanswered    = 500 * time.Millisecond // hold of an upstream whose home has not answered
+	skipTime      = 3 * time.Second        // of a home that has failed
+	maxAsks       = 6                      // upstreams that a request asks for
+	disturbance   = 4 * time.Second        // mean time between two
+	freezeTime    = 5 * time.Second
+	excusedAfter  = window + time.Second // of a disturbed instance, from its end
+	changeOfLimit = 20 * time.Second     // mean time between two, of one upstream
+)
+
+// modelConfig describes a fleet and its load.
+type modelConfig struct {
+	seed      uint64
+	instances int
+	limits    []float64 // of the upstreams, in requests per second; 0 for none
+	rate      float64   // requests per second at all instances together
+	disturbed bool
+	changing  bool // limits change and end
+	alone     bool // each instance counts for itself
+}
+
+// modelResult counts what happened.
+type modelResult struct {
+	excess   float64 // most arrivals in a window beyond the bound
+	upstream int     // where
+	at       time.Duration
+	used     float64 // share of all limits that was used
+	refused  int
+	asked    int // calls between instances
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int           { return len(q) }
+func (q eventQueue) Less(i, j int) bool { return q[i].at < q[j].at }
+func (q eventQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any) {
+	if e, ok := x.(event); ok {
+		*q = append(*q, e)
+	}
+}
+
+func (q *eventQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// model is a fleet with messages and upstreams, in simulated time.
+type model struct {
+	cfg       modelConfig
+	random    *rand.Rand
+	now       time.Duration
+	queue     eventQueue
+	instances []*modelInstance
+	upstreams []*modelUpstream
+	result    modelResult
+}
+
+type modelInstance struct {
+	entry     *nutmegview.Instance
+	view      []*nutmegview.Instance
+	granter   *Granter
+	notices   *nutmegnotice.Tracker
+	startedAt time.Duration // also tells one process from the next
+	joinedAt  time.Duration // first start under this name
+	frozen    time.Duration // until when it answers nobody
+	excused   time.Duration // until when its requests do not count
+	holds     map[int]time.Duration
+	skips     map[nutmegid.Instance]time.Duration
+	told      map[int]time.Duration // first answer that states a limit, by upstream
+}
+
+type modelUpstream struct {
+	number   int
+	entry    nutmegview.Upstream
+	limit    float64
+	first    time.Duration // first answer that states a limit; negative before
+	arrivals []time.Duration
+	limits   []limitSpan
+	served   int
+}
+
+// limitSpan is a limit from some time on.
+type limitSpan struct {
+	from  time.Duration
+	limit float64
+}
+
+func newModel(cfg modelConfig) *model {
+	m := &model{cfg: cfg, random: rand.New(rand.NewPCG(cfg.seed, 2))}
+	for n, limit := range cfg.limits {
+		u := &modelUpstream{number: n, entry: nutmegview.Upstream{ID: nutmegid.Upstream(fmt.Sprint("u", n)), StartedAt: time.Unix(1, 0)}, limit: limit, first: -1}
+		u.limits = []limitSpan{{0, limit}}
+		m.upstreams = append(m.upstreams, u)
+	}
+	for range cfg.instances {
+		m.addInstance(-SettleTime)
+	}
+	for _, i := range m.instances {
+		i.view = m.entries()
+	}
+	return m
+}
+
+func (m *model) entries() []*nutmegview.Instance {
+	var all []*nutmegview.Instance
+	for _, i := range m.instances {
+		all = append(all, i.entry)
+	}
+	return all
+}
+
+func (m *model) addInstance(startedAt time.Duration) *modelInstance {
+	i := &modelInstance{entry: &nutmegview.Instance{Name: nutmegid.Instance(fmt.Sprint("i", len(m.instances)))}, joinedAt: startedAt}
+	m.instances = append(m.instances, i)
+	m.start(i, startedAt)
+	return i
+}
+
+// start starts a new process of an instance, which knows only the members.
+func (m *model) start(i *modelInstance, at time.Duration) {
+	*i = modelInstance{
+		entry: i.entry, joinedAt: i.joinedAt, view: m.entries(), granter: NewGranter(), notices: nutmegnotice.NewTracker(nutmegnotice.Config{}), startedAt: at,
+		holds: make(map[int]time.Duration), skips: make(map[nutmegid.Instance]time.Duration), told: make(map[int]time.Duration),
+	}
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	heap.Push(&m.queue, event{at: m.now + d, do: do})
+}
+
+func (m *model) jitter(limit time.Duration) time.Duration {
+	return time.Duration(m.random.Int64N(int64(limit)))
+}
+
+// exponential returns a random time with the given mean.
+func (m *model) exponential(mean time.Duration) time.Duration {
+	return time.Duration(m.random.ExpFloat64() * float64(mean))
+}
+
+func (m *model) run() modelResult {
+	m.after(0, m.arrive)
+	if m.cfg.disturbed {
+		m.after(m.exponential(disturbance), m.disturb)
+	}
+	if m.cfg.changing {
+		for _, u := range m.upstreams {
+			m.after(m.exponential(changeOfLimit), func() { m.changeLimit(u) })
+		}
+	}
+	for m.queue.Len() > 0 {
+		e, _ := heap.Pop(&m.queue).(event)
+		if e.at > modelLength {
+			break
+		}
+		m.now = e.at
+		e.do()
+	}
+	m.judge()
+	return m.result
+}
+
+// arrive lets a request arrive at a random instance, and the next one later.
+func (m *model) arrive() {
+	m.after(m.exponential(time.Duration(float64(time.Second)/m.cfg.rate)), m.arrive)
+	if i := m.instances[m.random.IntN(len(m.instances))]; m.now >= i.frozen {
+		m.place(i, nil)
+	}
+}
+
+// place picks an upstream for a request and asks for a permit, if one is needed.
+func (m *model) place(i *modelInstance, tried []int) {
+	var usable []*modelUpstream
+	for _, u := range m.upstreams {
+		if i.holds[u.number] <= m.now && !slices.Contains(tried, u.number) {
+			usable = append(usable, u)
+		}
+	}
+	if len(usable) == 0 || len(tried) == maxAsks {
+		m.result.refused++
+		return
+	}
+	u := usable[m.random.IntN(len(usable))]
+	limit, limited := i.notices.RateLimit(u.entry)
+	if !limited {
+		m.send(i, u)
+		return
+	}
+	tried = append(slices.Clone(tried), u.number)
+	m.ask(i, Request{Process: u.entry.Process(), Rate: limit.Rate, Age: m.now - limit.HeardAt}, func(r Reply) {
+		if r.Permitted {
+			m.send(i, u)
+			return
+		}
+		i.holds[u.number] = m.now + r.Wait
+		m.place(i, tried)
+	})
+}
+
+// ask asks the home of an upstream's limit.
+func (m *model) ask(i *modelInstance, r Request, done func(Reply)) {
+	home := m.home(i, r.Process)
+	if home == nil {
+		done(Reply{Wait: unanswered})
+		return
+	}
+	if home == i {
+		done(home.grant(r, m.now))
+		return
+	}
+	m.result.asked++
+	asker := i.startedAt
+	answered := false
+	finish := func(reply Reply) {
+		if !answered && i.startedAt == asker {
+			answered = true
+			done(reply)
+		}
+	}
+	m.after(callTimeout, func() {
+		if !answered {
+			i.skips[home.entry.Name] = m.now + skipTime
+		}
+		finish(Reply{Wait: unanswered})
+	})
+	if m.random.Float64() < messageLoss {
+		return
+	}
+	m.after(m.jitter(messageTime), func() {
+		if m.now < home.frozen || m.now < i.frozen {
+			return
+		}
+		reply := home.grant(r, m.now)
+		if m.random.Float64() >= messageLoss {
+			m.after(m.jitter(messageTime), func() { finish(reply) })
+		}
+	})
+}
+
+// home returns the instance that i takes for the home of a process's limit, nil if
+// none answers.
+func (m *model) home(i *modelInstance, p nutmegview.Process) *modelInstance {
+	if m.cfg.alone {
+		return i
+	}
+	for _, entry := range Homes(p, i.view) {
+		if i.skips[entry.Name] > m.now {
+			continue
+		}
+		for _, other := range m.instances {
+			if other.entry == entry {
+				return other
+			}
+		}
+	}
+	return nil
+}
+
+func (i *modelInstance) grant(r Request, now time.Duration) Reply {
+	first := Homes(r.Process, i.view)[0] == i.entry && now-i.joinedAt >= SettleTime
+	return i.granter.Ask(r, ShareOf(first), now)
+}
+
+// send sends a request. It arrives and is answered later.
+func (m *model) send(i *modelInstance, u *modelUpstream) {
+	delay := m.jitter(messageTime)
+	if m.random.IntN(100) == 0 {
+		delay += m.jitter(lateArrival)
+	}
+	asker := i.startedAt
+	m.after(delay, func() {
+		if told, known := i.told[u.number]; known && m.now-told >= toldDelay && m.now >= i.excused && u.first >= 0 && m.now-u.first >= settling {
+			u.arrivals = append(u.arrivals, m.now)
+		}
+		u.served++
+		limit := u.limit
+		m.after(m.jitter(runTime), func() {
+			if i.startedAt == asker {
+				m.answer(i, u, limit)
+			}
+		})
+	})
+}
+
+func (m *model) answer(i *modelInstance, u *modelUpstream, limit float64) {
+	n := nutmegnotice.Notice{Success: true}
+	if limit > 0 {
+		rate := nutmegnotice.Rate(limit)
+		n.RateLimit = &rate
+		if u.first < 0 {
+			u.first = m.now
+		}
+		if _, known := i.told[u.number]; !known {
+			i.told[u.number] = m.now
+		}
+	} else {
+		delete(i.told, u.number)
+	}
+	i.notices.Record(u.entry, "", n, m.now)
+}
+
+// disturb restarts, freezes, or adds an instance.
+func (m *model) disturb() {
+	m.after(m.exponential(disturbance), m.disturb)
+	i := m.instances[m.random.IntN(len(m.instances))]
+	switch m.random.IntN(3) {
+	case 0:
+		m.start(i, m.now)
+		i.excused = m.now + excusedAfter
+	case 1:
+		i.frozen = m.now + freezeTime
+		i.excused = i.frozen + excusedAfter
+	case 2:
+		added := m.addInstance(m.now)
+		for _, other := range m.instances {
+			if other != added {
+				m.after(m.jitter(refreshTime), func() { other.view = m.entries() })
+			}
+		}
+	}
+}
+
+// changeLimit changes or ends the limit of an upstream.
+func (m *model) changeLimit(u *modelUpstream) {
+	m.after(m.exponential(changeOfLimit), func() { m.changeLimit(u) })
+	u.limit *= 0.3 + 2*m.random.Float64()
+	if m.random.IntN(4) == 0 {
+		u.limit = 0
+		u.first = -1
+		for _, i := range m.instances {
+			delete(i.told, u.number)
+		}
+	} else if u.limit == 0 {
+		u.limit = 1 + m.random.Float64()
+	}
+	u.limits = append(u.limits, limitSpan{m.now, u.limit})
+}
+
+// judge compares the arrivals in all windows with the bound.
+func (m *model) judge() {
+	limits := 0.0
+	served := 0
+	m.result.excess = -allowance
+	for _, u := range m.upstreams {
+		limits += u.limit * modelLength.Seconds()
+		served += u.served
+		first := 0
+		for last, at := range u.arrivals {
+			for at-u.arrivals[first] > window {
+				first++
+			}
+			if over := float64(last-first+1) - factor*u.allowed(at) - allowance; over > m.result.excess {
+				m.result.excess, m.result.upstream, m.result.at = over, u.number, at
+			}
+		}
+	}
+	m.result.used = float64(served) / limits
+}
+
+// allowed returns what the limits allow in the window that ends at the time given.
+// The limit before a change counts for half a second more.
+func (u *modelUpstream) allowed(end time.Duration) float64 {
+	sum := 0.0
+	for at := end - window; at < end; at += modelTick {
+		sum += max(u.limitAt(at), u.limitAt(at-toldDelay)) * modelTick.Seconds()
+	}
+	return sum
+}
+
+const modelTick = 50 * time.Millisecond
+
+func (u *modelUpstream) limitAt(at time.Duration) float64 {
+	limit := u.limits[0].limit
+	for _, s := range u.limits {
+		if s.from <= at {
+			limit = s.limit
+		}
+	}
+	return limit
+}
+
+// fleets are the sizes and limits that the model plays. The requests are about three
+// times what the upstreams take.
+var fleets = []modelConfig{
+	{instances: 7, limits: []float64{1, 1.2, 0.2}, rate: 8},
+	{instances: 7, limits: []float64{200, 30, 3}, rate: 700},
+	{instances: 95, limits: []float64{0.2, 0.5, 1, 2, 10}, rate: 40},
+	{instances: 450, limits: []float64{0.2, 1, 5, 20}, rate: 80},
+}
+
+func (c modelConfig) String() string {
+	return fmt.Sprintf("seed %d, %d instances, limits %v", c.seed, c.instances, c.limits)
+}
+
+const modelSeeds = 4 // of each simulated fleet
+
+// TestLimitHoldsOverAllInstances guards against limits that hold at each instance
+// but not over all of them, and against limits that are not used while callers are
+// refused.
+func TestLimitHoldsOverAllInstances(t *testing.T) {
+	for _, cfg := range fleets {
+		for cfg.seed = range uint64(modelSeeds) {
+			r := newModel(cfg).run()
+			if r.excess > 0 || r.used < usedShare {
+				t.Errorf("%s: %+v; want no excess, and at least %g of the limits used", cfg, r, usedShare)
+			}
+		}
+	}
+}
+
+// TestLimitHoldsWhileTheFleetChanges plays instances that restart, freeze and join,
+// so that homes change and instances disagree about them.
+func TestLimitHoldsWhileTheFleetChanges(t *testing.T) {
+	for _, cfg := range fleets {
+		cfg.disturbed = true
+		for cfg.seed = range uint64(modelSeeds) {
+			if r := newModel(cfg).run(); r.excess > 0 {
+				t.Errorf("%s: %+v; want no excess", cfg, r)
+			}
+		}
+	}
+}
+
+// TestChangingLimitsHold plays limits that rise, fall and end.
+func TestChangingLimitsHold(t *testing.T) {
+	for _, cfg := range fleets {
+		cfg.changing = true
+		for cfg.seed = range uint64(modelSeeds) {
+			if r := newModel(cfg).run(); r.excess > 0 {
+				t.Errorf("%s: %+v; want no excess", cfg, r)
+			}
+		}
+	}
+}
+
+// TestModelNoticesInstancesThatCountAlone checks that the model fails instances of
+// which each keeps the limit for itself.
+func TestModelNoticesInstancesThatCountAlone(t *testing.T) {
+	for _, cfg := range fleets {
+		cfg.alone = true
+		if r := newModel(cfg).run(); r.excess <= 0 {
+			t.Errorf("%s: %+v; want an excess", cfg, r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/traffic/nutmegpermit/permit.go
@@ -0,0 +1,65 @@
+// Package nutmegpermit keeps the requests of all instances to an upstream within the
+// rate that the upstream states.
+//
+// Each upstream's limit has a home among the instances. An instance that knows the
+// limit asks the home for a permit before each request to that upstream. Only homes
+// count, so that the number of instances does not matter. Instances may disagree for
+// a while about which one is the home; each home therefore permits a share of the
+// rate that leaves room for the others.
+//
+// The package does no I/O and starts no goroutines; callers pass the monotonic time
+// since an arbitrary start.
+//
+// # Usage
+//
+//	homes := nutmegpermit.Homes(process, instances) // the same at all instances
+//	granter := nutmegpermit.NewGranter()            // at the home
+//	reply := granter.Ask(nutmegpermit.Request{Process: process, Rate: 2}, nutmegpermit.ShareOf(true), now)
+//	if !reply.Permitted {
+//		// send the request elsewhere; ask again after reply.Wait
+//	}
+package nutmegpermit
+
+import (
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegrendezvous"
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
+)
+
+// Request asks for a permit to send one request to a process of an upstream.
+type Request struct {
+	Process nutmegview.Process
+	Rate    nutmegnotice.Rate // that the process has stated, as far as the asker knows
+	Age     time.Duration     // since it has stated that to the asker
+}
+
+// Reply is the home's reply to a Request.
+type Reply struct {
+	Permitted bool
+	Wait      time.Duration // until there may be a permit; only if Permitted is false
+}
+
+// Share is the part of a stated rate that a home permits, and its burst.
+type Share struct {
+	rate      float64 // of the stated rate
+	burst     float64 // permits that may be used at once
+	rateBurst float64 // further ones, per request per second of the stated rate
+}
+
+// ShareOf returns the share of a home. The first one in order gets most of the rate
+// if all instances know it; see SettleTime.
+func ShareOf(first bool) Share {
+	if first {
+		return Share{rate: firstRate, burst: firstBurst, rateBurst: firstRateBurst}
+	}
+	return Share{rate: otherRate, burst: otherBurst, rateBurst: otherRateBurst}
+}
+
+// Homes returns the instances that may be the home of a process's limit, in order of
+// preference. The second one is asked while the first does not answer.
+func Homes(p nutmegview.Process, instances []*nutmegview.Instance) []*nutmegview.Instance {
+	name := func(i *nutmegview.Instance) string { return string(i.Name) }
+	return nutmegrendezvous.Rank(string(p), instances, name, homeCount)
+}
--- a/internal/traffic/nutmegplace/defaults.go
+++ b/internal/traffic/nutmegplace/defaults.go
@@ -33,4 +33,5 @@
 	serviceQueueShare    = 3.0 // waiting requests allowed per slot of another upstream
 	overloadedRetryAfter = 250 * time.Millisecond
 	noUpstreamRetryAfter = 500 * time.Millisecond
+	minHeldRetryAfter    = 50 * time.Millisecond
 )
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -119,7 +119,13 @@
 func (p *Placer) Pick(info PickInfo, now time.Duration) (*Placement, *nutmegcall.Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable := p.usable(info, now)
+	usable, heldUntil := p.usable(info, now)
+	if len(usable) == 0 && heldUntil > 0 {
+		return nil, &nutmegcall.Refusal{
+			Reason: nutmegcall.ReasonRateLimited, RetryAfter: p.spread(heldUntil - now),
+			Detail: "all usable upstreams of service " + string(info.Service) + " have had as many requests as they take",
+		}
+	}
 	if len(usable) == 0 {
 		return nil, &nutmegcall.Refusal{
 			Reason: nutmegcall.ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter,
@@ -147,14 +153,27 @@
 	return pl, nil
 }
 
-// usable returns the candidates that share the best available state.
-func (p *Placer) usable(info PickInfo, now time.Duration) []*candidate {
-	var found []*candidate
+// spread extends a wait by up to its own length, so that callers do not all return at
+// once.
+func (p *Placer) spread(wait time.Duration) time.Duration {
+	return max(wait, minHeldRetryAfter) + time.Duration(p.random.Float64()*float64(wait))
+}
+
+// usable returns the candidates that share the best available state. Without those
+// that are held, heldUntil is the time at which the first hold ends; zero if there
+// is none.
+func (p *Placer) usable(info PickInfo, now time.Duration) (found []*candidate, heldUntil time.Duration) {
 	best := stateAvoided
 	for _, c := range p.byService[info.Service] {
 		if slices.Contains(info.Exclude, c.ID) {
 			continue
 		}
+		if now < c.heldUntil {
+			if heldUntil == 0 || c.heldUntil < heldUntil {
+				heldUntil = c.heldUntil
+			}
+			continue
+		}
 		state := c.state(now)
 		if state < best {
 			best = state
@@ -164,7 +183,7 @@
 			found = append(found, c)
 		}
 	}
-	return found
+	return found, heldUntil
 }
 
 // uncachedTokens returns the number of prompt tokens that the engine has to
@@ -270,6 +289,15 @@
 	pl.candidate.updateLoad(l, now)
 }
 
+// Hold ends the placement of a request that was not sent, because the upstream's rate
+// limit does not permit it. No request is placed there for the given time.
+func (p *Placer) Hold(pl *Placement, wait, now time.Duration) {
+	p.Done(pl, ResultNeutral, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.candidate.heldUntil = max(pl.candidate.heldUntil, now+wait)
+}
+
 // Done ends the placement and records the result of the request. Calls after
 // the first have no effect.
 func (p *Placer) Done(pl *Placement, r Result, now time.Duration) {
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -17,6 +17,9 @@
 
 const (
 	maxAttempts = 4 // includes attempts that upstreams refused
+	// maxPermitRequests limits the permits that are asked for before one attempt, each
+	// for another upstream, so that the caller does not wait for many of them.
+	maxPermitRequests = 6
 	// noRetryMaxIdleAge limits how long a pooled connection may have been idle if the
 	// request must not run twice. The upstream may be about to close an older
 	// one, and then it would be unknown whether the request ran.
@@ -72,7 +75,10 @@
 		if retry && !e.takeRetry() {
 			return e.giveUp()
 		}
-		placement, refusal := e.relay.cfg.Placer.Pick(e.pickInfo(), e.relay.cfg.Elapsed())
+		placement, refusal := e.place(ctx)
+		if refusal != nil && ctx.Err() != nil {
+			return e.interrupted(ctx)
+		}
 		if refusal != nil {
 			return e.notPlaced(refusal)
 		}
@@ -104,6 +110,26 @@
 	}
 }
 
+// place picks an upstream that permits the request.
+func (e *exchange) place(ctx context.Context) (*nutmegplace.Placement, *nutmegcall.Refusal) {
+	cfg := e.relay.cfg
+	for asked := 1; ; asked++ {
+		p, refusal := cfg.Placer.Pick(e.pickInfo(), cfg.Elapsed())
+		if refusal != nil {
+			return nil, refusal
+		}
+		permit := cfg.RateLimits.Permit(ctx, p.Upstream)
+		if permit.Granted {
+			return p, nil
+		}
+		cfg.Placer.Hold(p, permit.Wait, cfg.Elapsed())
+		cfg.OnDecision(e.call, Decision{Kind: DecisionNotPermitted, Upstream: p.Upstream.ID, Attempt: e.attempts + 1, Detail: permit.Detail})
+		if asked == maxPermitRequests || ctx.Err() != nil {
+			return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonRateLimited, RetryAfter: permit.Wait, Detail: permit.Detail}
+		}
+	}
+}
+
 func (e *exchange) pickInfo() nutmegplace.PickInfo {
 	return nutmegplace.PickInfo{Service: e.call.Service, Prompt: e.call.Prompt, Exclude: e.exclude}
 }
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -102,11 +102,26 @@
 type RateLimits interface {
 	// Record stores what the answer to a call states about its upstream.
 	Record(call *nutmegcall.Call, u nutmegview.Upstream, n nutmegnotice.Notice)
+	// Permit asks whether one request may be sent to an upstream now. It is called
+	// before each attempt.
+	Permit(ctx context.Context, u nutmegview.Upstream) Permit
+}
+
+// Permit is the answer to the question whether a request may be sent.
+type Permit struct {
+	Granted bool
+	Wait    time.Duration // until it makes sense to ask again; only if Granted is false
+	Detail  string        // the reason, for logs
 }
 
 // noRateLimits ignores what upstreams state.
 type noRateLimits struct{}
 
+// Permit implements RateLimits.
+func (noRateLimits) Permit(context.Context, nutmegview.Upstream) Permit {
+	return Permit{Granted: true}
+}
+
 // Record implements RateLimits.
 func (noRateLimits) Record(*nutmegcall.Call, nutmegview.Upstream, nutmegnotice.Notice) {}
 
@@ -135,6 +150,7 @@
 	DecisionRetry            DecisionKind = "repeated"
 	DecisionResume           DecisionKind = "resumed"
 	DecisionFailed           DecisionKind = "attempt_failed"
+	DecisionNotPermitted     DecisionKind = "not_permitted" // by the upstream's rate limit
 	DecisionRetryBudgetSpent DecisionKind = "retry_budget_spent"
 	DecisionUpstreamEnded    DecisionKind = "upstream_ended" // while the request may have run there
 )
--- a/nutmegpeer/peers.go
+++ b/nutmegpeer/peers.go
@@ -72,6 +72,8 @@
 	OnPanic func(method string, cause any, stack []byte)
 	// Reservations reserves tokens for requests of peers; such calls fail when nil.
 	Reservations ReservationHandler
+	// Permits permits requests of peers to upstreams; such calls fail when nil.
+	Permits      PermitHandler
 	ConfigSource ConfigSource                                  // answers calls for the configuration; they fail when nil
 	LineReplica  LineReplica                                   // stores ledger lines of peers; such calls fail when nil
 	Revision     func() nutmegid.Revision                      // the revision in force here; 0 when nil
