Do not skip an instance because a caller left during a call to it

Found while permits were added: a caller that left while its instance asked a home for tokens made the instance skip that home for three seconds, as if it had failed; its other requests went to the next home, or were refused. Cause: any error but a timeout counts at once, and a cancelled call is such an error. Calls for permits would have shared the fault.

--- a/internal/fleet/nutmegroster/budgets.go
+++ b/internal/fleet/nutmegroster/budgets.go
@@ -57,7 +57,7 @@
 		return 0, errNotConnected
 	}
 	granted, err := peers.Transfer(ctx, address, nutmegpeer.TransferRequest(req))
-	r.recordCall(to, err)
+	r.recordCall(ctx, to, err)
 	return granted, err
 }
 
--- a/internal/fleet/nutmegroster/homes.go
+++ b/internal/fleet/nutmegroster/homes.go
@@ -171,7 +171,7 @@
 	if err == nil && reply.Outcome == nutmegpeer.ReserveTryOtherPeer {
 		err = errNotAccepting
 	}
-	r.recordCall(home.Incarnation, err)
+	r.recordCall(ctx, home.Incarnation, err)
 	return reply, err
 }
 
--- a/internal/fleet/nutmegroster/homes_test.go
+++ b/internal/fleet/nutmegroster/homes_test.go
@@ -151,7 +151,7 @@
 	if len(homes) != 9 {
 		t.Fatalf("%d homes, want 9", len(homes))
 	}
-	r.recordCall(homes[0].Incarnation, errNotAccepting)
+	r.recordCall(t.Context(), homes[0].Incarnation, errNotAccepting)
 	after := r.Homes("desk")
 	if len(after) != 9 || slices.Contains(after, homes[0]) {
 		t.Errorf("homes after the first one failed a call: %v", after)
@@ -206,7 +206,7 @@
 		}
 		for _, i := range all {
 			if i.FailureDomain == homes[0].FailureDomain && i.Name != r.cfg.Self.Name {
-				r.recordCall(i.Incarnation, errNotAccepting)
+				r.recordCall(t.Context(), i.Incarnation, errNotAccepting)
 			}
 		}
 		after := r.homesOfBudget(nutmegid.WorkspaceBudget(workspace(w)))
--- a/internal/fleet/nutmegroster/permits.go
+++ b/internal/fleet/nutmegroster/permits.go
@@ -50,6 +50,6 @@
 		return nutmegpeer.PermitReply{}, errNotConnected
 	}
 	reply, err := peers.Permit(ctx, home.PeerAddress, req)
-	r.recordCall(home.Incarnation, err)
+	r.recordCall(ctx, home.Incarnation, err)
 	return reply, err
 }
--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -332,8 +332,12 @@
 	mathrand.Shuffle(len(list), func(a, b int) { list[a], list[b] = list[b], list[a] })
 }
 
-// recordCall updates a peer's health with the result of a call.
-func (r *Roster) recordCall(i nutmegid.Incarnation, err error) {
+// recordCall updates a peer's health with the result of a call. A call that was
+// cancelled says nothing about the peer.
+func (r *Roster) recordCall(ctx context.Context, i nutmegid.Incarnation, err error) {
+	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
+		return
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if err == nil {
@@ -358,7 +362,7 @@
 		return nil, false
 	}
 	_, value, err := peers.FetchRevision(ctx, list[0].PeerAddress)
-	r.recordCall(list[0].Incarnation, err)
+	r.recordCall(ctx, list[0].Incarnation, err)
 	return value, err == nil
 }
 
