Tell all instances when an upstream begins or ceases to state a rate limit

Permits alone keep the users' bound, but an instance learned of a limit only from an answer of its own: in the model 450 instances sent an upstream up to 72 requests in 4 s more than its limit allows, for most of a minute.

--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -171,7 +171,7 @@
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
 		Client: e.client, Writer: e.writer, Dial: e.dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
-		Budgets: budgetServer{e}, Reservations: reservationServer{e}, Permits: permitServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: e.peersStarted, Items: e.suspectItems(),
+		Budgets: budgetServer{e}, Reservations: reservationServer{e}, Permits: permitServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: e.peersStarted, Items: e.items(),
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
 			Cores: s.Limits.Cores, LinkMbps: s.Limits.LinkMbps,
--- a/internal/instance/nutmegentry/rate_limits.go
+++ b/internal/instance/nutmegentry/rate_limits.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
@@ -16,7 +18,7 @@
 )
 
 func (e *Entry) buildNotices() {
-	e.notices = nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: e.rateLimitChanged})
+	e.notices = nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: e.rateLimitChanged, OnStatement: e.sendRateLimit})
 	e.granter = nutmegpermit.NewGranter()
 	e.view.OnUpstreams(func(set *nutmegview.Upstreams) { e.notices.Forget(set, e.uptime()) })
 }
@@ -98,6 +100,23 @@
 	return nutmegpeer.PermitReply(reply)
 }
 
+// sendRateLimit tells all other instances that an upstream has begun or ceased to
+// state a rate limit.
+func (e *Entry) sendRateLimit(s nutmegnotice.Statement) {
+	e.putItem(itemRateLimit, string(s.Process), uint64(time.Now().UnixMicro()), s)
+}
+
+// receiveRateLimit applies what another instance has heard of an upstream.
+func (e *Entry) receiveRateLimit(i nutmegpeer.Item) {
+	var s nutmegnotice.Statement
+	if err := json.Unmarshal(i.Value, &s); err != nil {
+		e.itemUnreadable(i, err)
+		return
+	}
+	age := time.Since(time.UnixMicro(int64(i.Version)))
+	e.notices.Merge(s, age, e.uptime())
+}
+
 // rateLimitChanged logs that an upstream states a rate limit, another one, or none
 // any more.
 func (e *Entry) rateLimitChanged(c nutmegnotice.Change) {
--- a/internal/instance/nutmegentry/suspects.go
+++ b/internal/instance/nutmegentry/suspects.go
@@ -11,12 +11,6 @@
 	"github.com/nutmegwind/nutmegwind/nutmegpeer"
 )
 
-// The kinds of gossip items about suspect requests.
-const (
-	itemCrashReport nutmegpeer.ItemKind = "crash_reports"
-	itemAcquittal   nutmegpeer.ItemKind = "acquittals"
-)
-
 func (e *Entry) buildSuspects() {
 	e.suspectStore = newSuspectStore(e)
 	e.suspects = nutmegsuspect.NewTracker(nutmegsuspect.Config{
@@ -24,18 +18,10 @@
 	})
 }
 
-// suspectItems returns the rules of the gossip items about suspects.
-func (e *Entry) suspectItems() map[nutmegpeer.ItemKind]nutmegpeer.ItemRule {
-	return map[nutmegpeer.ItemKind]nutmegpeer.ItemRule{
-		itemCrashReport: {MaxItems: maxCrashReports, MaxBytes: maxSuspectItemBytes, Urgent: true, OnItem: e.receiveReport},
-		itemAcquittal:   {MaxItems: maxAcquittals, MaxBytes: maxSuspectItemBytes, Urgent: true, OnItem: e.receiveAcquittal},
-	}
-}
-
 // sendReport sends a report of this instance to all others.
 func (e *Entry) sendReport(r nutmegsuspect.Report) {
 	e.event("crash_report").WithFields(logrus.Fields{"process": r.Process, "suspects": len(r.Suspects)}).Warn("an upstream crashed while requests may have been running there")
-	e.putItem(itemCrashReport, fmt.Sprintf("%s/%s", r.Process, r.Reporter), len(r.Suspects), r)
+	e.putItem(itemCrashReport, fmt.Sprintf("%s/%s", r.Process, r.Reporter), uint64(len(r.Suspects)), r)
 }
 
 // resendReports sends the reports that were made before the fleet's key was known.
@@ -53,26 +39,11 @@
 	e.putItem(itemAcquittal, fmt.Sprintf("%s/%s", a.Key, a.Process), 1, a)
 }
 
-// putItem spreads a value as a gossip item. A value that replaces another one has a
-// higher version.
-func (e *Entry) putItem(kind nutmegpeer.ItemKind, key string, version int, value any) {
-	text, err := json.Marshal(value)
-	if err == nil {
-		err = e.roster.PutItem(nutmegpeer.Item{
-			Kind: kind, Key: key, Version: uint64(version), Expires: time.Now().Add(nutmegsuspect.ReportLifetime), Value: text,
-		})
-	}
-	if err != nil {
-		e.count("suspect_items_not_sent")
-		e.event("suspect_item_not_sent").WithFields(logrus.Fields{"kind": kind, "key": key}).WithError(err).Warn("other instances do not learn of a suspect now")
-	}
-}
-
 // receiveReport adds another instance's report.
 func (e *Entry) receiveReport(i nutmegpeer.Item) {
 	var r nutmegsuspect.Report
 	if err := json.Unmarshal(i.Value, &r); err != nil {
-		e.suspectItemUnreadable(i, err)
+		e.itemUnreadable(i, err)
 		return
 	}
 	e.event("crash_report_received").WithFields(logrus.Fields{
@@ -85,17 +56,12 @@
 func (e *Entry) receiveAcquittal(i nutmegpeer.Item) {
 	var a nutmegsuspect.Acquittal
 	if err := json.Unmarshal(i.Value, &a); err != nil {
-		e.suspectItemUnreadable(i, err)
+		e.itemUnreadable(i, err)
 		return
 	}
 	e.suspects.MergeAcquittal(a)
 }
 
-func (e *Entry) suspectItemUnreadable(i nutmegpeer.Item, err error) {
-	e.count("suspect_items_unreadable")
-	e.event("suspect_item_unreadable").WithFields(logrus.Fields{"kind": i.Kind, "key": i.Key}).WithError(err).Error("cannot decode what another instance says of a suspect")
-}
-
 // verdictChanged logs that the requests of a suspect are held back, or no longer.
 func (e *Entry) verdictChanged(v nutmegsuspect.Verdict) {
 	entry := e.event("suspect_verdict").WithFields(logrus.Fields{"key": v.Key, "part": v.Part, "crashes": v.Crashes, "held": v.Held})
--- a/internal/traffic/nutmegnotice/notice.go
+++ b/internal/traffic/nutmegnotice/notice.go
@@ -12,6 +12,7 @@
 //	if limit, ok := tracker.RateLimit(upstream); ok {
 //		// send at most limit.Rate requests per second, over all instances
 //	}
+//	tracker.Merge(statement, age, now) // from another instance
 package nutmegnotice
 
 import (
@@ -48,7 +49,16 @@
 	Process nutmegview.Process
 	Before  Rate               // zero if there was no limit
 	After   Rate               // zero if the limit has ended
-	Request nutmegid.RequestID // whose answer states it
+	Request nutmegid.RequestID // whose answer states it; empty if another instance said so
+}
+
+// Statement tells other instances that a process has begun to state a rate limit, or
+// states none any more.
+type Statement struct {
+	Upstream nutmegid.Upstream  `json:"upstream"`
+	Process  nutmegview.Process `json:"process"`
+	Rate     Rate               `json:"rate"`
+	Ended    bool               `json:"ended"`
 }
 
 // ChangeKind is the kind of a Change.
--- a/internal/traffic/nutmegnotice/tracker.go
+++ b/internal/traffic/nutmegnotice/tracker.go
@@ -12,6 +12,9 @@
 // Config configures a Tracker.
 type Config struct {
 	OnChange func(Change) // called without locks; may be nil
+	// OnStatement is called without locks when an answer to this instance begins or
+	// ends a limit; may be nil.
+	OnStatement func(Statement)
 }
 
 // Tracker keeps what upstreams have stated. It is safe for concurrent use.
@@ -34,6 +37,9 @@
 	if cfg.OnChange == nil {
 		cfg.OnChange = func(Change) {}
 	}
+	if cfg.OnStatement == nil {
+		cfg.OnStatement = func(Statement) {}
+	}
 	return &Tracker{cfg: cfg, records: make(map[nutmegview.Process]*record)}
 }
 
@@ -47,12 +53,43 @@
 	case n.Success && !n.Unclear:
 		change = t.endLimit(u)
 	}
+	if change == nil {
+		return
+	}
+	change.Request = id
+	t.cfg.OnChange(*change)
+	if change.Kind != ChangeMoved {
+		t.cfg.OnStatement(Statement{Upstream: u.ID, Process: change.Process, Rate: change.After, Ended: change.Kind == ChangeEnded})
+	}
+}
+
+// Merge stores what another instance has heard, unless an answer to this instance is
+// newer.
+func (t *Tracker) Merge(s Statement, age, now time.Duration) {
+	heardAt := now - max(age, 0)
+	t.mu.Lock()
+	r, known := t.records[s.Process]
+	var change *Change
+	switch {
+	case s.Ended && known && r.limit.HeardAt < heardAt:
+		delete(t.records, s.Process)
+		change = &Change{Kind: ChangeEnded, Process: s.Process, Before: r.limit.Rate}
+	case !s.Ended && !known:
+		change = t.add(s.Upstream, s.Process, Limit{Rate: max(s.Rate, 0), HeardAt: heardAt})
+	}
+	t.mu.Unlock()
 	if change != nil {
-		change.Request = id
 		t.cfg.OnChange(*change)
 	}
 }
 
+// add stores the first limit of a process. The caller must hold mu.
+func (t *Tracker) add(id nutmegid.Upstream, p nutmegview.Process, l Limit) *Change {
+	t.makeRoom()
+	t.records[p] = &record{upstream: id, limit: l, reported: l.Rate}
+	return &Change{Kind: ChangeStated, Process: p, After: l.Rate}
+}
+
 // setLimit stores a stated limit. It returns the change, if it is to be reported.
 func (t *Tracker) setLimit(u nutmegview.Upstream, rate Rate, now time.Duration) *Change {
 	p := u.Process()
@@ -60,9 +97,7 @@
 	defer t.mu.Unlock()
 	r, known := t.records[p]
 	if !known {
-		t.makeRoom()
-		t.records[p] = &record{upstream: u.ID, limit: Limit{Rate: rate, HeardAt: now}, reported: rate}
-		return &Change{Kind: ChangeStated, Process: p, After: rate}
+		return t.add(u.ID, p, Limit{Rate: rate, HeardAt: now})
 	}
 	r.limit = Limit{Rate: rate, HeardAt: now}
 	before := r.reported
--- a/internal/traffic/nutmegnotice/tracker_test.go
+++ b/internal/traffic/nutmegnotice/tracker_test.go
@@ -107,3 +107,33 @@
 		t.Error("the newest limit is not kept")
 	}
 }
+
+// TestOthersLearnLimits guards against instances that learn of a limit only from an
+// answer of their own, and against old news that override such an answer.
+func TestOthersLearnLimits(t *testing.T) {
+	var statements []Statement
+	u := process(1)
+	one := NewTracker(Config{OnStatement: func(s Statement) { statements = append(statements, s) }})
+	one.Record(u, "a", limited(2), 10)
+	one.Record(u, "b", limited(4), 20)
+	one.Record(u, "c", Notice{Success: true}, 30)
+	want := []Statement{{Upstream: "u", Process: u.Process(), Rate: 2}, {Upstream: "u", Process: u.Process(), Ended: true}}
+	if diff := cmp.Diff(want, statements); diff != "" {
+		t.Fatalf("statements (-want +got):\n%s", diff)
+	}
+	other := NewTracker(Config{})
+	other.Merge(statements[0], 0, 100)
+	if limit, ok := other.RateLimit(u); !ok || limit.Rate != 2 {
+		t.Errorf("limit %+v, %v; want 2", limit, ok)
+	}
+	other.Record(u, "d", limited(9), 200)
+	other.Merge(statements[0], 0, 300)
+	other.Merge(statements[1], 150, 310)
+	if limit, ok := other.RateLimit(u); !ok || limit.Rate != 9 {
+		t.Errorf("limit %+v, %v after old news; want 9", limit, ok)
+	}
+	other.Merge(statements[1], 0, 320)
+	if _, ok := other.RateLimit(u); ok {
+		t.Error("the limit has not ended")
+	}
+}
--- a/internal/traffic/nutmegpermit/model_test.go
+++ b/internal/traffic/nutmegpermit/model_test.go
@@ -41,6 +41,7 @@
 	freezeTime    = 5 * time.Second
 	excusedAfter  = window + time.Second // of a disturbed instance, from its end
 	changeOfLimit = 20 * time.Second     // mean time between two, of one upstream
+	spreadTime    = 3 * time.Second      // the longest time until an instance learns of a limit from others
 )
 
 // modelConfig describes a fleet and its load.
@@ -52,6 +53,7 @@
 	disturbed bool
 	changing  bool // limits change and end
 	alone     bool // each instance counts for itself
+	spread    bool // instances tell each other of limits; all requests count, whoever sends them
 }
 
 // modelResult counts what happened.
@@ -162,11 +164,23 @@
 // start starts a new process of an instance, which knows only the members.
 func (m *model) start(i *modelInstance, at time.Duration) {
 	*i = modelInstance{
-		entry: i.entry, joinedAt: i.joinedAt, view: m.entries(), granter: NewGranter(), notices: nutmegnotice.NewTracker(nutmegnotice.Config{}), startedAt: at,
+		entry: i.entry, joinedAt: i.joinedAt, view: m.entries(), granter: NewGranter(), notices: m.newNotices(i), startedAt: at,
 		holds: make(map[int]time.Duration), skips: make(map[nutmegid.Instance]time.Duration), told: make(map[int]time.Duration),
 	}
 }
 
+// newNotices returns the tracker of an instance, which tells all others of limits.
+func (m *model) newNotices(i *modelInstance) *nutmegnotice.Tracker {
+	return nutmegnotice.NewTracker(nutmegnotice.Config{OnStatement: func(s nutmegnotice.Statement) {
+		heardAt := m.now
+		for _, other := range m.instances {
+			if m.cfg.spread && other != i && m.random.Float64() >= messageLoss {
+				m.after(m.jitter(spreadTime), func() { other.notices.Merge(s, m.now-heardAt, m.now) })
+			}
+		}
+	}})
+}
+
 func (m *model) after(d time.Duration, do func()) {
 	heap.Push(&m.queue, event{at: m.now + d, do: do})
 }
@@ -311,7 +325,7 @@
 	}
 	asker := i.startedAt
 	m.after(delay, func() {
-		if told, known := i.told[u.number]; known && m.now-told >= toldDelay && m.now >= i.excused && u.first >= 0 && m.now-u.first >= settling {
+		if m.counts(i, u) {
 			u.arrivals = append(u.arrivals, m.now)
 		}
 		u.served++
@@ -324,6 +338,18 @@
 	})
 }
 
+// counts reports whether a request that arrives now counts.
+func (m *model) counts(i *modelInstance, u *modelUpstream) bool {
+	if u.first < 0 || m.now-u.first < settling {
+		return false
+	}
+	if m.cfg.spread {
+		return m.now-u.first >= settling+spreadTime
+	}
+	told, known := i.told[u.number]
+	return known && m.now-told >= toldDelay && m.now >= i.excused
+}
+
 func (m *model) answer(i *modelInstance, u *modelUpstream, limit float64) {
 	n := nutmegnotice.Notice{Success: true}
 	if limit > 0 {
@@ -475,6 +501,19 @@
 	}
 }
 
+// TestUpstreamIsRelievedAtOnce guards against upstreams that each instance has to
+// learn of by itself: with hundreds of instances that takes minutes.
+func TestUpstreamIsRelievedAtOnce(t *testing.T) {
+	for _, cfg := range fleets {
+		cfg.spread = true
+		for cfg.seed = range uint64(modelSeeds) {
+			if r := newModel(cfg).run(); r.excess > 0 || r.used < usedShare {
+				t.Errorf("%s: %+v; want no excess over all requests, and at least %g of the limits used", cfg, r, usedShare)
+			}
+		}
+	}
+}
+
 // TestModelNoticesInstancesThatCountAlone checks that the model fails instances of
 // which each keeps the limit for itself.
 func TestModelNoticesInstancesThatCountAlone(t *testing.T) {
