Send nothing new to an upstream that says in an answer that it leaves

Other instances learn of it by gossip, since some upstreams never tell the store. An upstream that has said that it leaves may end: that makes no suspects.

The relay's interface is named Notices now, since it carries both.

--- a/cmd/internal/layers/layers_test.go
+++ b/cmd/internal/layers/layers_test.go
@@ -77,7 +77,7 @@
 
 // wireNames matches names of the users' platform protocol, which may occur only
 // in the adapter.
-var wireNames = regexp.MustCompile(`X-Nutmegwind-|Server-Limit|Kv-From|Kv-Fetch|kv-events|hold-take|pathPrefix"|prepaid"|specification"|deletionPending`)
+var wireNames = regexp.MustCompile(`X-Nutmegwind-|Server-Limit|Server-Leaving|Kv-From|Kv-Fetch|kv-events|hold-take|pathPrefix"|prepaid"|specification"|deletionPending`)
 
 // TestWireNamesStayInTheAdapter checks that names of the platform's protocol
 // occur in no source outside the adapter.
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -38,9 +38,9 @@
 	maxSuspectItemBytes   = 3 << 10                 // of a gossip item about suspects
 	suspectsStoreTimeout  = 1200 * time.Millisecond // for one read or write of the suspects
 	suspectsRetryInterval = time.Second
-	maxRateLimitItems     = 2048
-	maxRateLimitItemBytes = 512                    // of a gossip item about a rate limit
-	rateLimitLifetime     = 10 * time.Minute       // of such an item
+	maxNoticeItems        = 2048
+	maxNoticeItemBytes    = 512                    // of a gossip item about what an upstream states
+	noticeLifetime        = 10 * time.Minute       // of such an item
 	permitTimeout         = 120 * time.Millisecond // of a question to the home of a rate limit
 	permitRetryInterval   = 500 * time.Millisecond // until a home that has not answered is asked again
 	feedMargin            = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -196,7 +196,7 @@
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
 	e.relay = nutmegrelay.New(nutmegrelay.Config{
-		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, RateLimits: rateLimits{e},
+		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, Notices: upstreamNotices{e},
 		Instances: e.roster.Count, OnDecision: e.relayDecided, Elapsed: e.uptime,
 	})
 	e.view.OnConfig(e.placer.SetConfig)
--- a/internal/instance/nutmegentry/items.go
+++ b/internal/instance/nutmegentry/items.go
@@ -14,7 +14,7 @@
 const (
 	itemCrashReport nutmegpeer.ItemKind = "crash_reports"
 	itemAcquittal   nutmegpeer.ItemKind = "acquittals"
-	itemRateLimit   nutmegpeer.ItemKind = "rate_limits"
+	itemNotice      nutmegpeer.ItemKind = "upstream_notices"
 )
 
 // items returns the rules of the gossip items.
@@ -22,14 +22,14 @@
 	return map[nutmegpeer.ItemKind]nutmegpeer.ItemRule{
 		itemCrashReport: {MaxItems: maxCrashReports, MaxBytes: maxSuspectItemBytes, Urgent: true, OnItem: e.receiveReport},
 		itemAcquittal:   {MaxItems: maxAcquittals, MaxBytes: maxSuspectItemBytes, Urgent: true, OnItem: e.receiveAcquittal},
-		itemRateLimit:   {MaxItems: maxRateLimitItems, MaxBytes: maxRateLimitItemBytes, Urgent: true, OnItem: e.receiveRateLimit},
+		itemNotice:      {MaxItems: maxNoticeItems, MaxBytes: maxNoticeItemBytes, Urgent: true, OnItem: e.receiveStatement},
 	}
 }
 
 // itemLifetime is how long instances keep the items of a kind.
 func itemLifetime(kind nutmegpeer.ItemKind) time.Duration {
-	if kind == itemRateLimit {
-		return rateLimitLifetime
+	if kind == itemNotice {
+		return noticeLifetime
 	}
 	return nutmegsuspect.ReportLifetime
 }
--- a/internal/instance/nutmegentry/rate_limits.go
+++ b/internal/instance/nutmegentry/notices.go
@@ -18,31 +18,39 @@
 )
 
 func (e *Entry) buildNotices() {
-	e.notices = nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: e.rateLimitChanged, OnStatement: e.sendRateLimit})
+	e.notices = nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: e.noticeChanged, OnStatement: e.sendStatement})
 	e.granter = nutmegpermit.NewGranter()
 	e.view.OnUpstreams(func(set *nutmegview.Upstreams) { e.notices.Forget(set, e.uptime()) })
 }
 
-// rateLimits implements nutmegrelay.RateLimits.
-type rateLimits struct {
+// upstreamNotices implements nutmegrelay.Notices.
+type upstreamNotices struct {
 	entry *Entry
 }
 
-var _ nutmegrelay.RateLimits = rateLimits{}
+var _ nutmegrelay.Notices = upstreamNotices{}
 
-// Record implements nutmegrelay.RateLimits.
-func (l rateLimits) Record(call *nutmegcall.Call, u nutmegview.Upstream, n nutmegnotice.Notice) {
-	e := l.entry
-	if n.Unclear {
+// Record implements nutmegrelay.Notices.
+func (n upstreamNotices) Record(call *nutmegcall.Call, u nutmegview.Upstream, stated nutmegnotice.Notice) {
+	e := n.entry
+	if stated.Unclear {
 		e.count("rate_limits_unreadable")
 	}
-	e.notices.Record(u, call.ID, n, e.uptime())
+	e.notices.Record(u, call.ID, stated, e.uptime())
 }
 
-// Permit implements nutmegrelay.RateLimits. It asks the home of the upstream's limit,
+// IsLeaving implements nutmegrelay.Notices.
+func (n upstreamNotices) IsLeaving(u nutmegview.Upstream) bool {
+	return n.entry.notices.IsLeaving(u)
+}
+
+// Permit implements nutmegrelay.Notices. It asks the home of the upstream's limit,
 // if there is a limit.
-func (l rateLimits) Permit(ctx context.Context, u nutmegview.Upstream) nutmegrelay.Permit {
-	e := l.entry
+func (n upstreamNotices) Permit(ctx context.Context, u nutmegview.Upstream) nutmegrelay.Permit {
+	e := n.entry
+	if e.notices.IsLeaving(u) {
+		return nutmegrelay.Permit{Leaving: true, Detail: "the upstream has said that it leaves"}
+	}
 	limit, limited := e.notices.RateLimit(u)
 	if !limited {
 		return nutmegrelay.Permit{Granted: true}
@@ -100,14 +108,18 @@
 	return nutmegpeer.PermitReply(reply)
 }
 
-// sendRateLimit tells all other instances that an upstream has begun or ceased to
-// state a rate limit.
-func (e *Entry) sendRateLimit(s nutmegnotice.Statement) {
-	e.putItem(itemRateLimit, string(s.Process), uint64(time.Now().UnixMicro()), s)
+// sendStatement tells all other instances that an upstream has begun or ceased to
+// state a rate limit, or that it leaves.
+func (e *Entry) sendStatement(s nutmegnotice.Statement) {
+	key := string(s.Process)
+	if s.Leaving {
+		key += "/leaving" // must not replace what is known of the limit
+	}
+	e.putItem(itemNotice, key, uint64(time.Now().UnixMicro()), s)
 }
 
-// receiveRateLimit applies what another instance has heard of an upstream.
-func (e *Entry) receiveRateLimit(i nutmegpeer.Item) {
+// receiveStatement applies what another instance has heard of an upstream.
+func (e *Entry) receiveStatement(i nutmegpeer.Item) {
 	var s nutmegnotice.Statement
 	if err := json.Unmarshal(i.Value, &s); err != nil {
 		e.itemUnreadable(i, err)
@@ -117,11 +129,16 @@
 	e.notices.Merge(s, age, e.uptime())
 }
 
-// rateLimitChanged logs that an upstream states a rate limit, another one, or none
-// any more.
-func (e *Entry) rateLimitChanged(c nutmegnotice.Change) {
+// noticeChanged logs that an upstream leaves, or that it states a rate limit, another
+// one, or none any more.
+func (e *Entry) noticeChanged(c nutmegnotice.Change) {
+	if c.Kind == nutmegnotice.ChangeLeaving {
+		e.count("upstreams_said_to_leave")
+		e.event("upstream_says_leaving").WithFields(logrus.Fields{"process": c.Process, "request": c.Request}).Info("an upstream's answer says that it leaves")
+		return
+	}
 	e.count("rate_limits_" + string(c.Kind))
-	metrics.GetOrRegisterGauge("rate_limited_upstreams", e.metrics).Update(int64(e.notices.Count()))
+	metrics.GetOrRegisterGauge("rate_limited_upstreams", e.metrics).Update(int64(e.notices.Limited()))
 	e.event("upstream_rate_limit").WithFields(logrus.Fields{
 		"change": c.Kind, "process": c.Process, "before": c.Before, "after": c.After, "request": c.Request,
 	}).Info("an upstream's answer changes its rate limit")
--- a/internal/traffic/nutmegnotice/notice.go
+++ b/internal/traffic/nutmegnotice/notice.go
@@ -30,6 +30,8 @@
 	// RateLimit is the rate of requests that the upstream takes from all instances
 	// together; nil if the answer states none.
 	RateLimit *Rate
+	// Leaving says that the upstream is about to end and takes no new requests.
+	Leaving bool
 	// Unclear says that the answer states a rate limit that cannot be read.
 	Unclear bool
 	// Success says that the answer is not an error. Errors may be sent without what
@@ -43,7 +45,7 @@
 	HeardAt time.Duration // when the latest answer that states it arrived
 }
 
-// Change is a change in the rate limit of a process.
+// Change is a change in what a process states.
 type Change struct {
 	Kind    ChangeKind
 	Process nutmegview.Process
@@ -52,13 +54,14 @@
 	Request nutmegid.RequestID // whose answer states it; empty if another instance said so
 }
 
-// Statement tells other instances that a process has begun to state a rate limit, or
-// states none any more.
+// Statement tells other instances that a process has begun to state a rate limit,
+// states none any more, or leaves.
 type Statement struct {
 	Upstream nutmegid.Upstream  `json:"upstream"`
 	Process  nutmegview.Process `json:"process"`
 	Rate     Rate               `json:"rate"`
 	Ended    bool               `json:"ended"`
+	Leaving  bool               `json:"leaving"`
 }
 
 // ChangeKind is the kind of a Change.
@@ -69,4 +72,6 @@
 	ChangeStated ChangeKind = "stated"
 	ChangeMoved  ChangeKind = "changed"
 	ChangeEnded  ChangeKind = "ended"
+	// ChangeLeaving means that the process takes no new requests until it ends.
+	ChangeLeaving ChangeKind = "leaving"
 )
--- a/internal/traffic/nutmegnotice/tracker.go
+++ b/internal/traffic/nutmegnotice/tracker.go
@@ -28,6 +28,9 @@
 // record is what one process has stated.
 type record struct {
 	upstream nutmegid.Upstream
+	heardAt  time.Duration // when the process has stated something last
+	leaving  bool          // it takes no new requests until it ends
+	limited  bool          // limit and reported are valid
 	limit    Limit
 	reported Rate // the rate of the latest change that was reported
 }
@@ -46,58 +49,94 @@
 // Record stores what an answer to a request states. A successful answer without a
 // rate limit ends the one stated before.
 func (t *Tracker) Record(u nutmegview.Upstream, id nutmegid.RequestID, n Notice, now time.Duration) {
+	for _, change := range t.apply(u, n, now) {
+		change.Request = id
+		t.cfg.OnChange(change)
+		if change.Kind != ChangeMoved {
+			t.cfg.OnStatement(Statement{
+				Upstream: u.ID, Process: change.Process, Rate: change.After,
+				Ended: change.Kind == ChangeEnded, Leaving: change.Kind == ChangeLeaving,
+			})
+		}
+	}
+}
+
+// apply applies an answer and returns the changes.
+func (t *Tracker) apply(u nutmegview.Upstream, n Notice, now time.Duration) []Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var changes []Change
+	if n.Leaving && t.setLeaving(u.ID, u.Process(), now) {
+		changes = append(changes, Change{Kind: ChangeLeaving, Process: u.Process()})
+	}
 	var change *Change
 	switch {
 	case n.RateLimit != nil:
 		change = t.setLimit(u, *n.RateLimit, now)
-	case n.Success && !n.Unclear:
-		change = t.endLimit(u)
-	}
-	if change == nil {
-		return
+	case n.Success && !n.Unclear && len(t.records) > 0:
+		change = t.endLimit(u.Process())
 	}
-	change.Request = id
-	t.cfg.OnChange(*change)
-	if change.Kind != ChangeMoved {
-		t.cfg.OnStatement(Statement{Upstream: u.ID, Process: change.Process, Rate: change.After, Ended: change.Kind == ChangeEnded})
+	if change != nil {
+		changes = append(changes, *change)
 	}
+	return changes
 }
 
 // Merge stores what another instance has heard, unless an answer to this instance is
 // newer.
 func (t *Tracker) Merge(s Statement, age, now time.Duration) {
-	heardAt := now - max(age, 0)
+	if change := t.merge(s, now-max(age, 0)); change != nil {
+		t.cfg.OnChange(*change)
+	}
+}
+
+func (t *Tracker) merge(s Statement, heardAt time.Duration) *Change {
 	t.mu.Lock()
-	r, known := t.records[s.Process]
-	var change *Change
+	defer t.mu.Unlock()
+	r := t.records[s.Process]
+	limited := r != nil && r.limited
 	switch {
-	case s.Ended && known && r.limit.HeardAt < heardAt:
-		delete(t.records, s.Process)
-		change = &Change{Kind: ChangeEnded, Process: s.Process, Before: r.limit.Rate}
-	case !s.Ended && !known:
-		change = t.add(s.Upstream, s.Process, Limit{Rate: max(s.Rate, 0), HeardAt: heardAt})
+	case s.Leaving:
+		if t.setLeaving(s.Upstream, s.Process, heardAt) {
+			return &Change{Kind: ChangeLeaving, Process: s.Process}
+		}
+	case s.Ended:
+		if limited && r.limit.HeardAt < heardAt {
+			return t.endLimit(s.Process)
+		}
+	case !limited:
+		return t.startLimit(s.Upstream, s.Process, Limit{Rate: max(s.Rate, 0), HeardAt: heardAt})
 	}
-	t.mu.Unlock()
-	if change != nil {
-		t.cfg.OnChange(*change)
+	return nil
+}
+
+// record returns the record of a process, which may be new. The caller must hold mu,
+// here and below.
+func (t *Tracker) record(id nutmegid.Upstream, p nutmegview.Process, now time.Duration) *record {
+	r, known := t.records[p]
+	if !known {
+		t.makeRoom()
+		r = &record{upstream: id}
+		t.records[p] = r
 	}
+	r.heardAt = max(r.heardAt, now)
+	return r
 }
 
-// add stores the first limit of a process. The caller must hold mu.
-func (t *Tracker) add(id nutmegid.Upstream, p nutmegview.Process, l Limit) *Change {
-	t.makeRoom()
-	t.records[p] = &record{upstream: id, limit: l, reported: l.Rate}
-	return &Change{Kind: ChangeStated, Process: p, After: l.Rate}
+// setLeaving stores that a process leaves, and reports whether that is new.
+func (t *Tracker) setLeaving(id nutmegid.Upstream, p nutmegview.Process, now time.Duration) bool {
+	r := t.record(id, p, now)
+	before := r.leaving
+	r.leaving = true
+	return !before
 }
 
 // setLimit stores a stated limit. It returns the change, if it is to be reported.
 func (t *Tracker) setLimit(u nutmegview.Upstream, rate Rate, now time.Duration) *Change {
 	p := u.Process()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r, known := t.records[p]
-	if !known {
-		return t.add(u.ID, p, Limit{Rate: rate, HeardAt: now})
+	r := t.record(u.ID, p, now)
+	if !r.limited {
+		return t.startLimit(u.ID, p, Limit{Rate: rate, HeardAt: now})
 	}
 	r.limit = Limit{Rate: rate, HeardAt: now}
 	before := r.reported
@@ -108,56 +147,81 @@
 	return &Change{Kind: ChangeMoved, Process: p, Before: before, After: rate}
 }
 
-// makeRoom forgets the statement that was heard first, if there are too many.
+// startLimit stores the first limit of a process.
+func (t *Tracker) startLimit(id nutmegid.Upstream, p nutmegview.Process, l Limit) *Change {
+	r := t.record(id, p, l.HeardAt)
+	r.limited = true
+	r.limit = l
+	r.reported = l.Rate
+	return &Change{Kind: ChangeStated, Process: p, After: l.Rate}
+}
+
+// endLimit removes the limit of a process. It returns the change, if there was one.
+func (t *Tracker) endLimit(p nutmegview.Process) *Change {
+	r, known := t.records[p]
+	if !known || !r.limited {
+		return nil
+	}
+	r.limited = false
+	if !r.leaving {
+		delete(t.records, p)
+	}
+	return &Change{Kind: ChangeEnded, Process: p, Before: r.limit.Rate}
+}
+
+// makeRoom forgets the process that was heard first, if there are too many.
 func (t *Tracker) makeRoom() {
 	if len(t.records) < maxRecords {
 		return
 	}
 	var oldest nutmegview.Process
 	for p, r := range t.records {
-		if oldest == "" || r.limit.HeardAt < t.records[oldest].limit.HeardAt {
+		if oldest == "" || r.heardAt < t.records[oldest].heardAt {
 			oldest = p
 		}
 	}
 	delete(t.records, oldest)
 }
 
-// endLimit removes the limit of a process. It returns the change, if there was one.
-func (t *Tracker) endLimit(u nutmegview.Upstream) *Change {
+// RateLimit returns the rate limit of an upstream's process, and false if it has
+// none.
+func (t *Tracker) RateLimit(u nutmegview.Upstream) (Limit, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(t.records) == 0 {
-		return nil
-	}
-	p := u.Process()
-	r, known := t.records[p]
-	if !known {
-		return nil
+	r := t.find(u)
+	if r == nil || !r.limited {
+		return Limit{}, false
 	}
-	delete(t.records, p)
-	return &Change{Kind: ChangeEnded, Process: p, Before: r.limit.Rate}
+	return r.limit, true
 }
 
-// RateLimit returns the rate limit of an upstream's process, and false if it has
-// none.
-func (t *Tracker) RateLimit(u nutmegview.Upstream) (Limit, bool) {
+// IsLeaving reports whether an upstream's process has said that it leaves.
+func (t *Tracker) IsLeaving(u nutmegview.Upstream) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	r := t.find(u)
+	return r != nil && r.leaving
+}
+
+// find returns the record of an upstream's process, or nil.
+func (t *Tracker) find(u nutmegview.Upstream) *record {
 	if len(t.records) == 0 {
-		return Limit{}, false
-	}
-	r, known := t.records[u.Process()]
-	if !known {
-		return Limit{}, false
+		return nil
 	}
-	return r.limit, true
+	return t.records[u.Process()]
 }
 
-// Count returns the number of processes with a rate limit.
-func (t *Tracker) Count() int {
+// Limited returns the number of processes with a rate limit.
+func (t *Tracker) Limited() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.records)
+	n := 0
+	for _, r := range t.records {
+		if r.limited {
+			n++
+		}
+	}
+	return n
 }
 
 // Forget removes the statements of processes that are no longer listed and have
@@ -167,7 +231,7 @@
 	defer t.mu.Unlock()
 	for p, r := range t.records {
 		u, ok := listed.ByID[r.upstream]
-		if (!ok || u.Process() != p) && now-r.limit.HeardAt > retention {
+		if (!ok || u.Process() != p) && now-r.heardAt > retention {
 			delete(t.records, p)
 		}
 	}
--- a/internal/traffic/nutmegnotice/tracker_test.go
+++ b/internal/traffic/nutmegnotice/tracker_test.go
@@ -90,7 +90,7 @@
 		t.Error("the limit of a listed process is forgotten")
 	}
 	tracker.Forget(none, retention+1)
-	if n := tracker.Count(); n != 0 {
+	if n := tracker.Limited(); n != 0 {
 		t.Errorf("%d limits are kept of processes that are gone", n)
 	}
 }
@@ -100,7 +100,7 @@
 	for n := range int64(maxRecords + 10) {
 		tracker.Record(process(n), "a", limited(1), time.Duration(n))
 	}
-	if n := tracker.Count(); n != maxRecords {
+	if n := tracker.Limited(); n != maxRecords {
 		t.Errorf("%d limits are kept; want %d", n, maxRecords)
 	}
 	if _, ok := tracker.RateLimit(process(maxRecords + 9)); !ok {
@@ -137,3 +137,30 @@
 		t.Error("the limit has not ended")
 	}
 }
+
+// TestLeavingLastsUntilTheProcessEnds guards against an upstream that leaves and gets
+// requests again, because a later answer or the store does not say so any more.
+func TestLeavingLastsUntilTheProcessEnds(t *testing.T) {
+	var statements []Statement
+	u := process(1)
+	one := NewTracker(Config{OnStatement: func(s Statement) { statements = append(statements, s) }})
+	leaving := limited(2)
+	leaving.Leaving = true
+	one.Record(u, "a", leaving, 0)
+	one.Record(u, "b", Notice{Success: true, Leaving: true}, 1)
+	one.Record(u, "c", Notice{Success: true}, 2)
+	one.Forget(&nutmegview.Upstreams{ByID: map[nutmegid.Upstream]nutmegview.Upstream{"u": u}}, time.Hour)
+	if !one.IsLeaving(u) || one.IsLeaving(process(2)) {
+		t.Errorf("leaving: %v, its next process: %v; want true, false", one.IsLeaving(u), one.IsLeaving(process(2)))
+	}
+	if _, ok := one.RateLimit(u); ok {
+		t.Error("the limit has not ended")
+	}
+	other := NewTracker(Config{})
+	for _, s := range statements {
+		other.Merge(s, 0, 10)
+	}
+	if !other.IsLeaving(u) || len(statements) != 3 {
+		t.Errorf("another instance: leaving %v after %d statements; want true after 3", other.IsLeaving(u), len(statements))
+	}
+}
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -165,7 +165,7 @@
 func (p *Placer) usable(info PickInfo, now time.Duration) (found []*candidate, heldUntil time.Duration) {
 	best := stateAvoided
 	for _, c := range p.byService[info.Service] {
-		if slices.Contains(info.Exclude, c.ID) {
+		if c.takesNone || slices.Contains(info.Exclude, c.ID) {
 			continue
 		}
 		if now < c.heldUntil {
@@ -298,6 +298,16 @@
 	pl.candidate.heldUntil = max(pl.candidate.heldUntil, now+wait)
 }
 
+// Leave ends the placement of a request that was not sent, because the upstream takes
+// no new requests. None is placed there until another process replaces it.
+func (p *Placer) Leave(pl *Placement, now time.Duration) {
+	p.Done(pl, ResultNeutral, now)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	pl.candidate.takesNone = true
+	p.prefixes.forget(pl.candidate.ID)
+}
+
 // Done ends the placement and records the result of the request. Calls after
 // the first have no effect.
 func (p *Placer) Done(pl *Placement, r Result, now time.Duration) {
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -113,18 +113,23 @@
 // place picks an upstream that permits the request.
 func (e *exchange) place(ctx context.Context) (*nutmegplace.Placement, *nutmegcall.Refusal) {
 	cfg := e.relay.cfg
-	for asked := 1; ; asked++ {
+	for denied := 0; ; {
 		p, refusal := cfg.Placer.Pick(e.pickInfo(), cfg.Elapsed())
 		if refusal != nil {
 			return nil, refusal
 		}
-		permit := cfg.RateLimits.Permit(ctx, p.Upstream)
+		permit := cfg.Notices.Permit(ctx, p.Upstream)
 		if permit.Granted {
 			return p, nil
 		}
-		cfg.Placer.Hold(p, permit.Wait, cfg.Elapsed())
 		cfg.OnDecision(e.call, Decision{Kind: DecisionNotPermitted, Upstream: p.Upstream.ID, Attempt: e.attempts + 1, Detail: permit.Detail})
-		if asked == maxPermitRequests || ctx.Err() != nil {
+		if permit.Leaving {
+			cfg.Placer.Leave(p, cfg.Elapsed())
+			continue
+		}
+		cfg.Placer.Hold(p, permit.Wait, cfg.Elapsed())
+		denied++
+		if denied == maxPermitRequests || ctx.Err() != nil {
 			return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonRateLimited, RetryAfter: permit.Wait, Detail: permit.Detail}
 		}
 	}
@@ -257,7 +262,7 @@
 	e.outcome.Attempts = e.sent
 	info := e.info
 	if !info.Misdirected {
-		cfg.RateLimits.Record(e.call, p.Upstream, info.Notice)
+		cfg.Notices.Record(e.call, p.Upstream, info.Notice)
 	}
 	if info.Load != nil {
 		cfg.Placer.ReportLoad(p, *info.Load, cfg.Elapsed())
--- a/internal/traffic/nutmegrelay/rate_limits_test.go
+++ b/internal/traffic/nutmegrelay/notices_test.go
@@ -12,37 +12,42 @@
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
-const permitWait = 3 * time.Second // of fakeLimits
+const permitWait = 3 * time.Second // of fakeNotices
 
-// fakeLimits permits requests to some upstreams only, and counts what it is asked.
-type fakeLimits struct {
+// fakeNotices permits requests to some upstreams only, and counts what it is asked.
+type fakeNotices struct {
 	permitted map[nutmegid.Upstream]bool
+	leaving   map[nutmegid.Upstream]bool
 	asked     map[nutmegid.Upstream]int
 	recorded  []nutmegid.Upstream
 	onAsk     func()
 }
 
-func (l *fakeLimits) Record(_ *nutmegcall.Call, u nutmegview.Upstream, _ nutmegnotice.Notice) {
+func (l *fakeNotices) Record(_ *nutmegcall.Call, u nutmegview.Upstream, _ nutmegnotice.Notice) {
 	l.recorded = append(l.recorded, u.ID)
 }
 
-func (l *fakeLimits) Permit(_ context.Context, u nutmegview.Upstream) Permit {
+func (l *fakeNotices) Permit(_ context.Context, u nutmegview.Upstream) Permit {
 	l.asked[u.ID]++
 	if l.onAsk != nil {
 		l.onAsk()
 	}
-	return Permit{Granted: l.permitted[u.ID], Wait: permitWait, Detail: "none is left"}
+	return Permit{Granted: l.permitted[u.ID], Leaving: l.leaving[u.ID], Wait: permitWait, Detail: "none is left"}
+}
+
+func (l *fakeNotices) IsLeaving(u nutmegview.Upstream) bool {
+	return l.leaving[u.ID]
 }
 
 // limitedFleet returns a fleet of which only some upstreams may get requests.
-func limitedFleet(t *testing.T, permitted []nutmegid.Upstream, handlers ...http.HandlerFunc) (*fleet, *fakeLimits) {
+func limitedFleet(t *testing.T, permitted []nutmegid.Upstream, handlers ...http.HandlerFunc) (*fleet, *fakeNotices) {
 	t.Helper()
 	f := newFleet(t, handlers...)
-	l := &fakeLimits{permitted: make(map[nutmegid.Upstream]bool), asked: make(map[nutmegid.Upstream]int)}
+	l := &fakeNotices{permitted: make(map[nutmegid.Upstream]bool), asked: make(map[nutmegid.Upstream]int)}
 	for _, u := range permitted {
 		l.permitted[u] = true
 	}
-	f.relay.cfg.RateLimits = l
+	f.relay.cfg.Notices = l
 	return f, l
 }
 
@@ -80,6 +85,26 @@
 	}
 }
 
+// TestLeavingUpstreamGetsNoNewRequests guards against requests to upstreams that have
+// said that they leave, and against callers that are told to wait for them.
+func TestLeavingUpstreamGetsNoNewRequests(t *testing.T) {
+	f, notices := limitedFleet(t, []nutmegid.Upstream{"u1"}, text("a"), text("b"))
+	notices.leaving = map[nutmegid.Upstream]bool{"u0": true}
+	for range 5 {
+		if outcome, refusal := f.relay.Serve(t.Context(), newCall(nonIdempotent), &recorder{}); refusal != nil || outcome.Upstream != "u1" {
+			t.Fatalf("outcome %+v, refusal %v; want an answer of u1", outcome, refusal)
+		}
+	}
+	notices.leaving["u1"], notices.permitted["u1"] = true, false
+	_, refusal := f.relay.Serve(t.Context(), newCall(idempotent), &recorder{})
+	if refusal == nil || refusal.Reason != nutmegcall.ReasonNoUpstream || refusal.Ran != nutmegcall.NotRun {
+		t.Errorf("refusal %v when all upstreams leave; want %s, not run", refusal, nutmegcall.ReasonNoUpstream)
+	}
+	if notices.asked["u0"] > 1 {
+		t.Errorf("%d requests were placed at an upstream that leaves; want at most 1", notices.asked["u0"])
+	}
+}
+
 // TestRequestWithoutAnyPermitIsRefusedAtOnce guards against callers that wait for a
 // permit until their deadline, and against refusals that do not say when to return.
 func TestRequestWithoutAnyPermitIsRefusedAtOnce(t *testing.T) {
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -97,33 +97,42 @@
 	Answered(call *nutmegcall.Call)
 }
 
-// RateLimits keeps the rate of requests to each upstream within the limit that the
-// upstream states.
-type RateLimits interface {
+// Notices keeps what upstreams state about themselves in their answers, and says
+// whether they take requests.
+type Notices interface {
 	// Record stores what the answer to a call states about its upstream.
 	Record(call *nutmegcall.Call, u nutmegview.Upstream, n nutmegnotice.Notice)
 	// Permit asks whether one request may be sent to an upstream now. It is called
 	// before each attempt.
 	Permit(ctx context.Context, u nutmegview.Upstream) Permit
+	// IsLeaving reports whether an upstream's process has stated that it takes no new
+	// requests until it ends.
+	IsLeaving(u nutmegview.Upstream) bool
 }
 
 // Permit is the answer to the question whether a request may be sent.
 type Permit struct {
 	Granted bool
-	Wait    time.Duration // until it makes sense to ask again; only if Granted is false
+	Leaving bool          // the upstream takes no new requests until its process ends
+	Wait    time.Duration // until it makes sense to ask again; only if both are false
 	Detail  string        // the reason, for logs
 }
 
-// noRateLimits ignores what upstreams state.
-type noRateLimits struct{}
+// noNotices ignores what upstreams state.
+type noNotices struct{}
 
-// Permit implements RateLimits.
-func (noRateLimits) Permit(context.Context, nutmegview.Upstream) Permit {
+// IsLeaving implements Notices.
+func (noNotices) IsLeaving(nutmegview.Upstream) bool {
+	return false
+}
+
+// Permit implements Notices.
+func (noNotices) Permit(context.Context, nutmegview.Upstream) Permit {
 	return Permit{Granted: true}
 }
 
-// Record implements RateLimits.
-func (noRateLimits) Record(*nutmegcall.Call, nutmegview.Upstream, nutmegnotice.Notice) {}
+// Record implements Notices.
+func (noNotices) Record(*nutmegcall.Call, nutmegview.Upstream, nutmegnotice.Notice) {}
 
 // Decision is a step in the handling of a call, for the event log.
 type Decision struct {
@@ -150,7 +159,7 @@
 	DecisionRetry            DecisionKind = "repeated"
 	DecisionResume           DecisionKind = "resumed"
 	DecisionFailed           DecisionKind = "attempt_failed"
-	DecisionNotPermitted     DecisionKind = "not_permitted" // by the upstream's rate limit
+	DecisionNotPermitted     DecisionKind = "not_permitted" // by what the upstream has stated
 	DecisionRetryBudgetSpent DecisionKind = "retry_budget_spent"
 	DecisionUpstreamEnded    DecisionKind = "upstream_ended" // while the request may have run there
 )
@@ -164,7 +173,7 @@
 	Retries    *nutmegretry.Budget
 	View       *nutmegview.View
 	Suspects   Suspects                             // of this instance alone when nil
-	RateLimits RateLimits                           // none are heeded when nil
+	Notices    Notices                              // none are heeded when nil
 	Instances  func() int                           // number of instances that share the retry budget; 1 when nil
 	OnDecision func(c *nutmegcall.Call, d Decision) // called for each decision; may be nil
 	Now        func() time.Time                     // time.Now when nil
@@ -191,8 +200,8 @@
 	if cfg.Suspects == nil {
 		cfg.Suspects = nutmegsuspect.NewTracker(nutmegsuspect.Config{Now: cfg.Now})
 	}
-	if cfg.RateLimits == nil {
-		cfg.RateLimits = noRateLimits{}
+	if cfg.Notices == nil {
+		cfg.Notices = noNotices{}
 	}
 	if cfg.Instances == nil {
 		cfg.Instances = func() int { return 1 }
--- a/internal/traffic/nutmegrelay/suspects.go
+++ b/internal/traffic/nutmegrelay/suspects.go
@@ -62,5 +62,5 @@
 // or its entry has gone, which may be the first sign of that.
 func (e *exchange) mayLeave(p *nutmegplace.Placement) bool {
 	u, listed := e.relay.cfg.View.Upstreams().ByID[p.Upstream.ID]
-	return !listed || u.Leaving
+	return !listed || u.Leaving || e.relay.cfg.Notices.IsLeaving(p.Upstream)
 }
