Leave upstreams alone for the time that their refusals ask for

When all upstreams wait, callers are refused at once with the soonest end; callers return at most a second later than that, not up to twice as late.

Not built: that only one request tests the upstream at the end.

--- a/internal/instance/nutmegentry/notices.go
+++ b/internal/instance/nutmegentry/notices.go
@@ -51,6 +51,9 @@
 	if e.notices.IsLeaving(u) {
 		return nutmegrelay.Permit{Leaving: true, Detail: "the upstream has said that it leaves"}
 	}
+	if wait := e.notices.WaitEnd(u) - e.uptime(); wait > 0 {
+		return nutmegrelay.Permit{Wait: wait, Detail: fmt.Sprintf("the upstream has asked for no requests for another %d ms", wait.Milliseconds())}
+	}
 	limit, limited := e.notices.RateLimit(u)
 	if !limited {
 		return nutmegrelay.Permit{Granted: true}
@@ -129,13 +132,20 @@
 	e.notices.Merge(s, age, e.uptime())
 }
 
-// noticeChanged logs that an upstream leaves, or that it states a rate limit, another
+// noticeChanged logs that an upstream leaves or wants no requests for a time, or that it states a rate limit, another
 // one, or none any more.
 func (e *Entry) noticeChanged(c nutmegnotice.Change) {
-	if c.Kind == nutmegnotice.ChangeLeaving {
+	switch c.Kind {
+	case nutmegnotice.ChangeLeaving:
 		e.count("upstreams_said_to_leave")
 		e.event("upstream_says_leaving").WithFields(logrus.Fields{"process": c.Process, "request": c.Request}).Info("an upstream's answer says that it leaves")
 		return
+	case nutmegnotice.ChangeWait:
+		e.count("upstream_waits")
+		e.event("upstream_says_wait").WithFields(logrus.Fields{
+			"process": c.Process, "request": c.Request, "wait_ms": c.Wait.Milliseconds(),
+		}).Info("an upstream's answer asks for no requests for a time")
+		return
 	}
 	e.count("rate_limits_" + string(c.Kind))
 	metrics.GetOrRegisterGauge("rate_limited_upstreams", e.metrics).Update(int64(e.notices.Limited()))
--- a/internal/traffic/nutmegnotice/notice.go
+++ b/internal/traffic/nutmegnotice/notice.go
@@ -32,6 +32,9 @@
 	RateLimit *Rate
 	// Leaving says that the upstream is about to end and takes no new requests.
 	Leaving bool
+	// RetryAfter is how long the upstream wants no requests from this instance; zero if
+	// the answer does not say so.
+	RetryAfter time.Duration
 	// Unclear says that the answer states a rate limit that cannot be read.
 	Unclear bool
 	// Success says that the answer is not an error. Errors may be sent without what
@@ -51,6 +54,7 @@
 	Process nutmegview.Process
 	Before  Rate               // zero if there was no limit
 	After   Rate               // zero if the limit has ended
+	Wait    time.Duration      // of a ChangeWait
 	Request nutmegid.RequestID // whose answer states it; empty if another instance said so
 }
 
@@ -74,4 +78,6 @@
 	ChangeEnded  ChangeKind = "ended"
 	// ChangeLeaving means that the process takes no new requests until it ends.
 	ChangeLeaving ChangeKind = "leaving"
+	// ChangeWait means that the process wants no requests from this instance for a time.
+	ChangeWait ChangeKind = "wait"
 )
--- a/internal/traffic/nutmegnotice/tracker.go
+++ b/internal/traffic/nutmegnotice/tracker.go
@@ -30,6 +30,7 @@
 	upstream nutmegid.Upstream
 	heardAt  time.Duration // when the process has stated something last
 	leaving  bool          // it takes no new requests until it ends
+	waitEnd  time.Duration // until when it wants no requests from this instance
 	limited  bool          // limit and reported are valid
 	limit    Limit
 	reported Rate // the rate of the latest change that was reported
@@ -52,7 +53,7 @@
 	for _, change := range t.apply(u, n, now) {
 		change.Request = id
 		t.cfg.OnChange(change)
-		if change.Kind != ChangeMoved {
+		if change.Kind != ChangeMoved && change.Kind != ChangeWait {
 			t.cfg.OnStatement(Statement{
 				Upstream: u.ID, Process: change.Process, Rate: change.After,
 				Ended: change.Kind == ChangeEnded, Leaving: change.Kind == ChangeLeaving,
@@ -69,6 +70,9 @@
 	if n.Leaving && t.setLeaving(u.ID, u.Process(), now) {
 		changes = append(changes, Change{Kind: ChangeLeaving, Process: u.Process()})
 	}
+	if n.RetryAfter > 0 && t.setWait(u, min(n.RetryAfter, maxRetryAfter), now) {
+		changes = append(changes, Change{Kind: ChangeWait, Process: u.Process(), Wait: min(n.RetryAfter, maxRetryAfter)})
+	}
 	var change *Change
 	switch {
 	case n.RateLimit != nil:
@@ -131,6 +135,15 @@
 	return !before
 }
 
+// setWait stores for how long a process wants no requests from this instance, and
+// reports whether it wanted some until now. A later end replaces an earlier one.
+func (t *Tracker) setWait(u nutmegview.Upstream, wait, now time.Duration) bool {
+	r := t.record(u.ID, u.Process(), now)
+	before := r.waitEnd
+	r.waitEnd = max(before, now+wait)
+	return before <= now
+}
+
 // setLimit stores a stated limit. It returns the change, if it is to be reported.
 func (t *Tracker) setLimit(u nutmegview.Upstream, rate Rate, now time.Duration) *Change {
 	p := u.Process()
@@ -163,9 +176,6 @@
 		return nil
 	}
 	r.limited = false
-	if !r.leaving {
-		delete(t.records, p)
-	}
 	return &Change{Kind: ChangeEnded, Process: p, Before: r.limit.Rate}
 }
 
@@ -195,6 +205,17 @@
 	return r.limit, true
 }
 
+// WaitEnd returns the time until which an upstream's process wants no requests from
+// this instance; it may be over.
+func (t *Tracker) WaitEnd(u nutmegview.Upstream) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.find(u); r != nil {
+		return r.waitEnd
+	}
+	return 0
+}
+
 // IsLeaving reports whether an upstream's process has said that it leaves.
 func (t *Tracker) IsLeaving(u nutmegview.Upstream) bool {
 	t.mu.Lock()
--- a/internal/traffic/nutmegnotice/tracker_test.go
+++ b/internal/traffic/nutmegnotice/tracker_test.go
@@ -164,3 +164,23 @@
 		t.Errorf("another instance: leaving %v after %d statements; want true after 3", other.IsLeaving(u), len(statements))
 	}
 }
+
+// TestWaitHoldsForItsProcess guards against waits that a shorter one or another process
+// ends, and against waits of years.
+func TestWaitHoldsForItsProcess(t *testing.T) {
+	u := process(1)
+	tracker := NewTracker(Config{OnStatement: func(s Statement) { t.Errorf("other instances are told %+v", s) }})
+	tracker.Record(u, "a", Notice{RetryAfter: 4 * time.Second}, time.Second)
+	tracker.Record(u, "b", Notice{RetryAfter: time.Second}, 2*time.Second)
+	tracker.Record(u, "c", Notice{Success: true}, 3*time.Second)
+	if got := tracker.WaitEnd(u); got != 5*time.Second {
+		t.Errorf("the wait ends at %s; want 5s", got)
+	}
+	if got := tracker.WaitEnd(process(2)); got != 0 {
+		t.Errorf("the next process waits until %s", got)
+	}
+	tracker.Record(u, "d", Notice{RetryAfter: 1000 * time.Hour}, 0)
+	if got := tracker.WaitEnd(u); got != maxRetryAfter {
+		t.Errorf("the wait ends at %s; want at most %s", got, maxRetryAfter)
+	}
+}
--- a/internal/traffic/nutmegplace/defaults.go
+++ b/internal/traffic/nutmegplace/defaults.go
@@ -34,4 +34,5 @@
 	overloadedRetryAfter = 250 * time.Millisecond
 	noUpstreamRetryAfter = 500 * time.Millisecond
 	minHeldRetryAfter    = 50 * time.Millisecond
+	maxHeldSpread        = time.Second // by which callers return later than the end of a hold
 )
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -153,10 +153,11 @@
 	return pl, nil
 }
 
-// spread extends a wait by up to its own length, so that callers do not all return at
-// once.
+// spread extends a wait by up to its own length, but not by long, so that callers do
+// not all return at once.
 func (p *Placer) spread(wait time.Duration) time.Duration {
-	return max(wait, minHeldRetryAfter) + time.Duration(p.random.Float64()*float64(wait))
+	wait = max(wait, minHeldRetryAfter)
+	return wait + time.Duration(p.random.Int64N(int64(min(wait, maxHeldSpread))))
 }
 
 // usable returns the candidates that share the best available state. Without those
--- a/internal/traffic/nutmegrelay/notices_test.go
+++ b/internal/traffic/nutmegrelay/notices_test.go
@@ -114,7 +114,7 @@
 		if refusal == nil || refusal.Reason != nutmegcall.ReasonRateLimited || refusal.Ran != nutmegcall.NotRun {
 			t.Fatalf("refusal %v; want %s, not run", refusal, nutmegcall.ReasonRateLimited)
 		}
-		if refusal.RetryAfter < permitWait-time.Second || refusal.RetryAfter > 2*permitWait {
+		if refusal.RetryAfter < permitWait-time.Second || refusal.RetryAfter > permitWait+time.Second {
 			t.Errorf("the caller is told to return after %s; want about %s", refusal.RetryAfter, permitWait)
 		}
 	}
