--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"net/http"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
@@ -20,15 +19,6 @@
 	// maxPermitRequests limits the permits that are asked for before one attempt, each
 	// for another upstream, so that the caller does not wait for many of them.
 	maxPermitRequests = 6
-	// noRetryMaxIdleAge limits how long a pooled connection may have been idle if the
-	// request must not run twice. The upstream may be about to close an older
-	// one, and then it would be unknown whether the request ran.
-	noRetryMaxIdleAge = 2 * time.Second
-	// attemptShare is the fraction of the remaining time that an attempt of an
-	// idempotent request may take, so that another upstream has time to answer.
-	attemptShare   = 0.4
-	minAttemptTime = 60 * time.Millisecond
-
 	refusedRetryAfter = 150 * time.Millisecond
 )
 
@@ -246,123 +236,3 @@
 func (e *exchange) overBound() bool {
 	return e.reservation != nil && e.events.Events > e.call.Prompt.MaxOutput
 }
-
-// attempt sends the call to one upstream and forwards the response.
-func (e *exchange) attempt(ctx context.Context, p *nutmegplace.Placement) (attemptResult, error) {
-	cfg := e.relay.cfg
-	ctx, cancel := e.limitAttempt(ctx)
-	defer cancel()
-	e.beganAt, e.begun = 0, false
-	resp, err := cfg.Pool.Send(ctx, e.request(p))
-	if err != nil {
-		return e.handleSendError(ctx, p, err)
-	}
-	defer resp.Close()
-	e.sent++
-	e.outcome.Attempts = e.sent
-	info := e.info
-	if !info.Misdirected {
-		cfg.Notices.Record(e.call, p.Upstream, info.Notice)
-	}
-	if info.Load != nil {
-		cfg.Placer.ReportLoad(p, *info.Load, cfg.Elapsed())
-	}
-	if info.NotRun || info.Misdirected {
-		return e.handleRefusal(p, resp, info)
-	}
-	e.executions++
-	e.ran = nutmegcall.MayHaveRun
-	if e.call.Route.Stream && resp.StatusCode == http.StatusOK {
-		return e.forwardStream(ctx, p, resp)
-	}
-	return e.forwardResponse(ctx, p, resp)
-}
-
-// limitAttempt limits the time of an attempt if the call is idempotent and may be
-// retried.
-func (e *exchange) limitAttempt(ctx context.Context) (context.Context, context.CancelFunc) {
-	route := e.call.Route
-	if route.RetryPolicy != nutmegview.Idempotent || route.Stream || e.executions+1 >= route.MaxUpstreams {
-		return context.WithCancel(ctx)
-	}
-	left := e.call.Deadline.Sub(e.relay.cfg.Now())
-	return context.WithTimeout(ctx, max(time.Duration(float64(left)*attemptShare), minAttemptTime))
-}
-
-// request encodes the call for an upstream.
-func (e *exchange) request(p *nutmegplace.Placement) nutmegconn.Request {
-	cfg := e.relay.cfg
-	req := cfg.Codec.EncodeRequest(e.call, Attempt{
-		Upstream:    p.Upstream.ID,
-		Timeout:     e.call.Deadline.Sub(cfg.Now()),
-		Priority:    e.call.Priority,
-		ResumeAfter: e.resumeAfter(),
-	})
-	request := nutmegconn.Request{Address: p.Upstream.Address, HTTP: req, Body: e.call.Body, Matches: e.matches}
-	if !e.mayRetryAfterRun() {
-		request.MaxIdleAge = noRetryMaxIdleAge
-	}
-	return request
-}
-
-func (e *exchange) resumeAfter() string {
-	if e.headerSent {
-		return e.events.LastID
-	}
-	return ""
-}
-
-// matches decodes the header of a response and reports whether it answers this
-// call rather than an earlier one on the same connection. On a reused connection
-// a response without an ID may be a late copy of an earlier one.
-func (e *exchange) matches(resp *http.Response, reused bool) bool {
-	e.info = e.relay.cfg.Codec.DecodeHeader(resp)
-	if e.info.RequestID == "" {
-		return !reused
-	}
-	return e.info.RequestID == e.call.ID
-}
-
-// handleSendError ends an attempt that got no response header.
-func (e *exchange) handleSendError(ctx context.Context, p *nutmegplace.Placement, err error) (attemptResult, error) {
-	var failed *nutmegconn.Error
-	sent := nutmegconn.SentAll
-	if errors.As(err, &failed) {
-		sent = failed.Sent
-	}
-	if sent == nutmegconn.SentNothing && failed.Reused {
-		e.finish(ctx, p, nutmegplace.ResultNeutral)
-		return attemptStale, err
-	}
-	if sent == nutmegconn.SentNothing {
-		e.finish(ctx, p, nutmegplace.ResultUnreachable)
-		return attemptNotRun, err
-	}
-	e.sent++
-	e.outcome.Attempts = e.sent
-	e.executions++
-	e.ran = nutmegcall.MayHaveRun
-	e.finish(ctx, p, nutmegplace.ResultFailed)
-	return attemptUnknown, err
-}
-
-// finish reports the result of an attempt to the placer. If the call was cancelled,
-// by its caller or by a stop, the result says nothing about the upstream. A
-// deadline that has passed does.
-func (e *exchange) finish(ctx context.Context, p *nutmegplace.Placement, result nutmegplace.Result) {
-	if errors.Is(ctx.Err(), context.Canceled) {
-		result = nutmegplace.ResultNeutral
-	}
-	e.relay.cfg.Placer.Done(p, result, e.relay.cfg.Elapsed())
-}
-
-// handleRefusal ends an attempt that the upstream did not run.
-func (e *exchange) handleRefusal(p *nutmegplace.Placement, resp *nutmegconn.Response, info ResponseInfo) (attemptResult, error) {
-	result := nutmegplace.ResultBusy
-	if info.Misdirected {
-		result = nutmegplace.ResultMisdirected
-	}
-	e.relay.cfg.Placer.Done(p, result, e.relay.cfg.Elapsed())
-	_, err := readBuffered(resp)
-	return attemptNotRun, errors.Join(fmt.Errorf("upstream refused the request with status %d", resp.StatusCode), err)
-}
