Tell the home of a rate limit at once when an answer changes it

Traced: the home went on with the old rate for 2.5 s. It learned of a change only when an instance that had heard it asked for a permit again, and each of 450 instances asks seldom. Now the instance that hears it tells the home, outside of the request's path and bounded.

--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -38,6 +38,7 @@
 	maxSuspectItemBytes   = 3 << 10                 // of a gossip item about suspects
 	suspectsStoreTimeout  = 1200 * time.Millisecond // for one read or write of the suspects
 	suspectsRetryInterval = time.Second
+	maxQueuedRates        = 256 // changed rate limits that homes are not told of yet
 	maxNoticeItems        = 2048
 	maxNoticeItemBytes    = 512                    // of a gossip item about what an upstream states
 	noticeLifetime        = 10 * time.Minute       // of such an item
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -97,6 +97,7 @@
 	suspectStore     *suspectStore
 	notices          *nutmegnotice.Tracker
 	granter          *nutmegpermit.Granter
+	rateInformer     *rateInformer
 	relay            *nutmegrelay.Relay
 
 	callers       *nutmegserve.Server
@@ -243,6 +244,7 @@
 	go e.fetchConfigLoop(ctx)
 	go e.overload.loop(ctx)
 	go e.suspectStore.run(ctx)
+	go e.rateInformer.run(ctx)
 	e.pool.Start()
 	e.readiness = e.serve(readiness, e.readinessHandler())
 	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle))
--- a/internal/instance/nutmegentry/notices.go
+++ b/internal/instance/nutmegentry/notices.go
@@ -20,6 +20,7 @@
 func (e *Entry) buildNotices() {
 	e.notices = nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: e.noticeChanged, OnStatement: e.sendStatement})
 	e.granter = nutmegpermit.NewGranter()
+	e.rateInformer = newRateInformer(e)
 	e.view.OnUpstreams(func(set *nutmegview.Upstreams) { e.notices.Forget(set, e.uptime()) })
 }
 
@@ -87,7 +88,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	reply, err := e.roster.Permit(ctx, home, nutmegpeer.PermitRequest{Process: string(r.Process), Rate: float64(r.Rate), Age: r.Age})
+	reply, err := e.roster.Permit(ctx, home, nutmegpeer.PermitRequest{Process: string(r.Process), Rate: float64(r.Rate), Age: r.Age, Inform: r.Inform})
 	return name, nutmegpermit.Reply(reply), err
 }
 
@@ -105,7 +106,7 @@
 // Permit implements nutmegpeer.PermitHandler.
 func (s permitServer) Permit(req nutmegpeer.PermitRequest) nutmegpeer.PermitReply {
 	reply := s.entry.grantPermit(nutmegpermit.Request{
-		Process: nutmegview.Process(req.Process), Rate: nutmegnotice.Rate(req.Rate), Age: req.Age,
+		Process: nutmegview.Process(req.Process), Rate: nutmegnotice.Rate(req.Rate), Age: req.Age, Inform: req.Inform,
 	})
 	s.entry.count("permits_asked_by_peers")
 	return nutmegpeer.PermitReply(reply)
@@ -147,6 +148,9 @@
 		}).Info("an upstream's answer asks for no requests for a time")
 		return
 	}
+	if c.Kind == nutmegnotice.ChangeMoved {
+		e.rateInformer.add(c)
+	}
 	e.count("rate_limits_" + string(c.Kind))
 	metrics.GetOrRegisterGauge("rate_limited_upstreams", e.metrics).Update(int64(e.notices.Limited()))
 	e.event("upstream_rate_limit").WithFields(logrus.Fields{
--- a/internal/instance/nutmegentry/stop.go
+++ b/internal/instance/nutmegentry/stop.go
@@ -23,6 +23,7 @@
 	<-e.configFetchDone
 	<-e.overload.done
 	<-e.suspectStore.done
+	<-e.rateInformer.done
 	e.roster.Stop()
 	e.pool.Stop()
 	e.readiness.Kill()
--- a/internal/traffic/nutmegpermit/granter.go
+++ b/internal/traffic/nutmegpermit/granter.go
@@ -28,8 +28,8 @@
 	return &Granter{buckets: make(map[nutmegview.Process]*bucket)}
 }
 
-// Ask permits one request, or says when to ask again. Each denied asker is told
-// another time.
+// Ask permits one request, or says when to ask again: each denied asker is told
+// another time. A request that only informs gets no permit.
 func (g *Granter) Ask(r Request, s Share, now time.Duration) Reply {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -37,6 +37,9 @@
 	b.learn(r, now)
 	rate := max(b.stated, minRate) * s.rate
 	b.refill(rate, s.burst+s.rateBurst*b.stated, now)
+	if r.Inform {
+		return Reply{}
+	}
 	if b.permits >= 1 {
 		b.permits--
 		b.booked = max(b.booked-1, 0)
--- a/internal/traffic/nutmegpermit/model_test.go
+++ b/internal/traffic/nutmegpermit/model_test.go
@@ -171,7 +171,11 @@
 
 // newNotices returns the tracker of an instance, which tells all others of limits.
 func (m *model) newNotices(i *modelInstance) *nutmegnotice.Tracker {
-	return nutmegnotice.NewTracker(nutmegnotice.Config{OnStatement: func(s nutmegnotice.Statement) {
+	return nutmegnotice.NewTracker(nutmegnotice.Config{OnChange: func(c nutmegnotice.Change) {
+		if c.Kind == nutmegnotice.ChangeMoved {
+			m.ask(i, Request{Process: c.Process, Rate: c.After, Inform: true}, func(Reply) {})
+		}
+	}, OnStatement: func(s nutmegnotice.Statement) {
 		heardAt := m.now
 		for _, other := range m.instances {
 			if m.cfg.spread && other != i && m.random.Float64() >= messageLoss {
@@ -501,6 +505,17 @@
 	}
 }
 
+// TestHomeLearnsAtOnceThatALimitFell guards against a home that permits an old, higher
+// rate until an instance that knows better happens to ask for a permit.
+func TestHomeLearnsAtOnceThatALimitFell(t *testing.T) {
+	cfg := fleets[3]
+	cfg.changing = true
+	cfg.seed = 37
+	if r := newModel(cfg).run(); r.excess > 0 {
+		t.Errorf("%s: %+v; want no excess", cfg, r)
+	}
+}
+
 // TestUpstreamIsRelievedAtOnce guards against upstreams that each instance has to
 // learn of by itself: with hundreds of instances that takes minutes.
 func TestUpstreamIsRelievedAtOnce(t *testing.T) {
--- a/internal/traffic/nutmegpermit/permit.go
+++ b/internal/traffic/nutmegpermit/permit.go
@@ -33,6 +33,7 @@
 	Process nutmegview.Process
 	Rate    nutmegnotice.Rate // that the process has stated, as far as the asker knows
 	Age     time.Duration     // since it has stated that to the asker
+	Inform  bool              // asks for no permit; tells the home that the rate has changed
 }
 
 // Reply is the home's reply to a Request.
--- a/nutmegpeer/permit.go
+++ b/nutmegpeer/permit.go
@@ -15,6 +15,7 @@
 	Process string        // of the upstream
 	Rate    float64       // that the process has stated, in requests per second
 	Age     time.Duration // since it has stated that to this instance
+	Inform  bool          // no permit is asked for; the request only tells the rate
 }
 
 // PermitReply is a peer's reply to a PermitRequest.
@@ -34,7 +35,7 @@
 // Permit asks a peer for a permit. After an error the peer may still have counted
 // the request.
 func (p *Peers) Permit(ctx context.Context, address string, request PermitRequest) (PermitReply, error) {
-	req := &peerpb.PermitRequest{Fleet: p.cfg.Fleet, Process: request.Process, Rate: request.Rate, AgeMicros: request.Age.Microseconds()}
+	req := &peerpb.PermitRequest{Fleet: p.cfg.Fleet, Process: request.Process, Rate: request.Rate, AgeMicros: request.Age.Microseconds(), Inform: request.Inform}
 	var err error
 	if req.Mac, err = sign(p.cfg.Key, req); err != nil {
 		return PermitReply{}, err
@@ -70,7 +71,7 @@
 		return nil, errMalformed
 	}
 	answer := s.peers.cfg.Permits.Permit(PermitRequest{
-		Process: r.GetProcess(), Rate: r.GetRate(), Age: time.Duration(r.GetAgeMicros()) * time.Microsecond,
+		Process: r.GetProcess(), Rate: r.GetRate(), Age: time.Duration(r.GetAgeMicros()) * time.Microsecond, Inform: r.GetInform(),
 	})
 	reply := &peerpb.PermitReply{Fleet: s.peers.cfg.Fleet, Process: r.GetProcess(), Permitted: answer.Permitted, WaitMicros: answer.Wait.Microseconds()}
 	var err error
