Let a home of rate limits step back when its list of instances is old

Suspected in the postmortem, then shown by the model: when instances join while half of the others are cut off from the store, those go on to ask the old first home, which counts in full as well as the new one: 58 requests in 4 s too many at a limit of 30. A home now counts as the first only with a list of instances that is at most 26 s old, and one with a new name only after 30 s, so that the old one has stepped back by then. A read of the list that failed is repeated after 3 s in place of 15.

--- a/internal/fleet/nutmegroster/permits.go
+++ b/internal/fleet/nutmegroster/permits.go
@@ -20,10 +20,13 @@
 }
 
 // IsFirstPermitHome reports whether this instance is the first home of the rate limit
-// of a process, and all others know that.
+// of a process, as far as a recent list of instances says, and all others know that.
 func (r *Roster) IsFirstPermitHome(p nutmegview.Process) bool {
-	settled := r.refreshed.Load() && !time.Now().Before(r.settledAt)
-	return settled && r.permitHomes(p)[0].Name == r.cfg.Self.Name
+	listedAt := r.listedAt.Load()
+	if listedAt == nil || time.Since(*listedAt) > nutmegpermit.MaxListAge || time.Now().Before(r.settledAt) {
+		return false
+	}
+	return r.permitHomes(p)[0].Name == r.cfg.Self.Name
 }
 
 // permitHomes returns the homes of the rate limit of a process, in order. They are
--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -42,10 +42,12 @@
 	refreshInterval = 15 * time.Second
 	registerTimeout = 5 * time.Second
 	retryInterval   = 500 * time.Millisecond
-	callTimeout     = 250 * time.Millisecond
-	peerIdleTimeout = 20 * time.Second
-	peerInterval    = 10 * time.Second // between checks for idle connections
-	skipDuration    = 3 * time.Second  // how long a peer is skipped after failed calls
+	// refreshRetryInterval is the longest time until a failed refresh is repeated.
+	refreshRetryInterval = 3 * time.Second
+	callTimeout          = 250 * time.Millisecond
+	peerIdleTimeout      = 20 * time.Second
+	peerInterval         = 10 * time.Second // between checks for idle connections
+	skipDuration         = 3 * time.Second  // how long a peer is skipped after failed calls
 	// maxFailures is the number of consecutive failures after which a timeout causes a
 	// peer to be skipped; other errors do so at once.
 	maxFailures   = 3
@@ -92,9 +94,9 @@
 	// shards is the number of store objects that budgets are sharded over, 0 until
 	// it is known.
 	shards atomic.Int32
-	// refreshed says that the list of instances has been read; settledAt is the time
-	// from which all others know this instance. It is written before refreshed.
-	refreshed atomic.Bool
+	// listedAt is when the list of instances was read last; nil before. settledAt is the
+	// time from which all others know this instance; it is written before listedAt.
+	listedAt  atomic.Pointer[time.Time]
 	settledAt time.Time
 	done      chan struct{}
 
@@ -169,9 +171,15 @@
 	}
 	// Refresh often at first and back off, because all instances of a new fleet
 	// register at about the same time.
-	for wait := retryInterval; ; wait = min(2*wait, refreshInterval) {
-		r.refresh(ctx)
-		if !sleep(ctx, wait) {
+	wait := retryInterval
+	for {
+		next := wait
+		if r.refresh(ctx) {
+			wait = min(2*wait, refreshInterval)
+		} else {
+			next = min(wait, refreshRetryInterval)
+		}
+		if !sleep(ctx, next) {
 			return
 		}
 	}
@@ -262,14 +270,15 @@
 	return true
 }
 
-// refresh reads the entries of all instances from the store.
-func (r *Roster) refresh(ctx context.Context) {
+// refresh reads the entries of all instances from the store, and reports whether it
+// could.
+func (r *Roster) refresh(ctx context.Context) bool {
+	began := time.Now()
 	objects, err := r.cfg.Client.ListStale(ctx, instanceKind)
 	if err != nil {
 		r.cfg.Log.WithField("event", "instances_unknown").WithError(err).Info("cannot read the list of instances; keeping the previous one")
-		return
+		return false
 	}
-	defer r.refreshed.Store(true)
 	var list []nutmegview.Instance
 	for _, o := range objects {
 		doc, err := nutmegstore.Decode[nutmegview.Instance](o)
@@ -286,6 +295,8 @@
 		r.contactPeers(list)
 		r.cfg.OnChange(len(list) + 1)
 	}
+	r.listedAt.Store(&began)
+	return true
 }
 
 // contactPeers makes the instances in the list known to the exchange of gossip.
--- a/internal/traffic/nutmegpermit/defaults.go
+++ b/internal/traffic/nutmegpermit/defaults.go
@@ -5,7 +5,12 @@
 // SettleTime is how long an instance with a new name has to be up before all others
 // know it. Until then another one may act as the first home in its place. A restarted
 // instance keeps its name, and with it its place in the order.
-const SettleTime = 20 * time.Second
+const SettleTime = 30 * time.Second
+
+// MaxListAge is the age of an instance's list of instances up to which it may count as
+// the first home: with an older one it may not know of an instance that counts as the
+// first by now. It is shorter than SettleTime by more than reads are out of date.
+const MaxListAge = 26 * time.Second
 
 const (
 	homeCount = 2 // homes of one limit, in order
