--- a/internal/traffic/nutmegpermit/model_test.go
+++ b/internal/traffic/nutmegpermit/model_test.go
@@ -178,12 +178,11 @@
 	m.after(refreshTime, func() { m.refresh(i) })
 }
 
-func (m *model) addInstance(startedAt time.Duration) *modelInstance {
+func (m *model) addInstance(startedAt time.Duration) {
 	i := &modelInstance{entry: &nutmegview.Instance{Name: nutmegid.Instance(fmt.Sprint("i", len(m.instances)))}, joinedAt: startedAt}
 	m.instances = append(m.instances, i)
 	m.start(i, startedAt)
 	m.after(m.jitter(refreshTime), func() { m.refresh(i) })
-	return i
 }
 
 // start starts a new process of an instance, which knows only the members.
