--- a/internal/traffic/nutmegpermit/model_test.go
+++ b/internal/traffic/nutmegpermit/model_test.go
@@ -502,56 +502,42 @@
 
 const modelSeeds = 4 // of each simulated fleet
 
-// TestLimitHoldsOverAllInstances guards against limits that hold at each instance
-// but not over all of them, and against limits that are not used while callers are
-// refused.
-func TestLimitHoldsOverAllInstances(t *testing.T) {
+// playFleets plays all fleets with several seeds and fails the test if a limit is
+// passed, or if less than the share given is used of the limits.
+func playFleets(t *testing.T, used float64, adjust func(*modelConfig)) {
+	t.Helper()
 	for _, cfg := range fleets {
+		adjust(&cfg)
 		for cfg.seed = range uint64(modelSeeds) {
-			r := newModel(cfg).run()
-			if r.excess > 0 || r.used < usedShare {
-				t.Errorf("%s: %+v; want no excess, and at least %g of the limits used", cfg, r, usedShare)
+			if r := newModel(cfg).run(); r.excess > 0 || r.used < used {
+				t.Errorf("%s: %+v; want no excess, and at least %g of the limits used", cfg, r, used)
 			}
 		}
 	}
 }
 
+// TestLimitHoldsOverAllInstances guards against limits that hold at each instance
+// but not over all of them, and against limits that are not used while callers are
+// refused.
+func TestLimitHoldsOverAllInstances(t *testing.T) {
+	playFleets(t, usedShare, func(*modelConfig) {})
+}
+
 // TestLimitHoldsWhileTheFleetChanges plays instances that restart, freeze, join, or do
 // not reach the store, so that homes change and instances disagree about them.
 func TestLimitHoldsWhileTheFleetChanges(t *testing.T) {
-	for _, cfg := range fleets {
-		cfg.disturbed = true
-		for cfg.seed = range uint64(modelSeeds) {
-			if r := newModel(cfg).run(); r.excess > 0 {
-				t.Errorf("%s: %+v; want no excess", cfg, r)
-			}
-		}
-	}
+	playFleets(t, 0, func(cfg *modelConfig) { cfg.disturbed = true })
 }
 
 // TestHomeWithAnOldListStepsBack guards against two first homes: one that instances
 // agree on that have read the list lately, and one for those that have not.
 func TestHomeWithAnOldListStepsBack(t *testing.T) {
-	for _, cfg := range fleets {
-		cfg.divided = true
-		for cfg.seed = range uint64(modelSeeds) {
-			if r := newModel(cfg).run(); r.excess > 0 {
-				t.Errorf("%s: %+v; want no excess", cfg, r)
-			}
-		}
-	}
+	playFleets(t, 0, func(cfg *modelConfig) { cfg.divided = true })
 }
 
 // TestChangingLimitsHold plays limits that rise, fall and end.
 func TestChangingLimitsHold(t *testing.T) {
-	for _, cfg := range fleets {
-		cfg.changing = true
-		for cfg.seed = range uint64(modelSeeds) {
-			if r := newModel(cfg).run(); r.excess > 0 {
-				t.Errorf("%s: %+v; want no excess", cfg, r)
-			}
-		}
-	}
+	playFleets(t, 0, func(cfg *modelConfig) { cfg.changing = true })
 }
 
 // TestHomeLearnsAtOnceThatALimitFell guards against a home that permits an old, higher
@@ -568,14 +554,7 @@
 // TestUpstreamIsRelievedAtOnce guards against upstreams that each instance has to
 // learn of by itself: with hundreds of instances that takes minutes.
 func TestUpstreamIsRelievedAtOnce(t *testing.T) {
-	for _, cfg := range fleets {
-		cfg.spread = true
-		for cfg.seed = range uint64(modelSeeds) {
-			if r := newModel(cfg).run(); r.excess > 0 || r.used < usedShare {
-				t.Errorf("%s: %+v; want no excess over all requests, and at least %g of the limits used", cfg, r, usedShare)
-			}
-		}
-	}
+	playFleets(t, usedShare, func(cfg *modelConfig) { cfg.spread = true })
 }
 
 // TestModelNoticesInstancesThatCountAlone checks that the model fails instances of
