--- a/internal/traffic/nutmegplace/candidate.go
+++ b/internal/traffic/nutmegplace/candidate.go
@@ -26,7 +26,7 @@
 	waitingRequests float64 // queued requests, as of the last report
 	reportedAt      time.Duration
 
-	takesNone        bool          // the process has said that it leaves
+	saidLeaving      bool          // the process has said that it leaves
 	heldUntil        time.Duration // no request may be sent before, for the upstream's rate limit
 	avoidUntil       time.Duration
 	failures         int           // consecutive
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -166,7 +166,7 @@
 func (p *Placer) usable(info PickInfo, now time.Duration) (found []*candidate, heldUntil time.Duration) {
 	best := stateAvoided
 	for _, c := range p.byService[info.Service] {
-		if c.takesNone || slices.Contains(info.Exclude, c.ID) {
+		if c.saidLeaving || slices.Contains(info.Exclude, c.ID) {
 			continue
 		}
 		if now < c.heldUntil {
@@ -305,7 +305,7 @@
 	p.Done(pl, ResultNeutral, now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	pl.candidate.takesNone = true
+	pl.candidate.saidLeaving = true
 	p.prefixes.forget(pl.candidate.ID)
 }
 
