Keep old news from bringing back a rate limit that has ended

Found while the diff was read: an answer without a limit ended it, but older news of another instance that had heard one started it again, although an answer to the instance itself goes first. The limit's end keeps its time now.

--- a/internal/instance/nutmegentry/notices.go
+++ b/internal/instance/nutmegentry/notices.go
@@ -133,8 +133,8 @@
 	e.notices.Merge(s, age, e.uptime())
 }
 
-// noticeChanged logs that an upstream leaves or wants no requests for a time, or that it states a rate limit, another
-// one, or none any more.
+// noticeChanged logs that an upstream leaves or wants no requests for a time, or that
+// it states a rate limit, another one, or none any more.
 func (e *Entry) noticeChanged(c nutmegnotice.Change) {
 	switch c.Kind {
 	case nutmegnotice.ChangeLeaving:
--- a/internal/traffic/nutmegnotice/tracker.go
+++ b/internal/traffic/nutmegnotice/tracker.go
@@ -31,9 +31,9 @@
 	heardAt  time.Duration // when the process has stated something last
 	leaving  bool          // it takes no new requests until it ends
 	waitEnd  time.Duration // until when it wants no requests from this instance
-	limited  bool          // limit and reported are valid
-	limit    Limit
-	reported Rate // the rate of the latest change that was reported
+	limited  bool          // it has a rate limit
+	limit    Limit         // without a limit, HeardAt is when it ended
+	reported Rate          // the rate of the latest change that was reported
 }
 
 // NewTracker returns a Tracker that has heard nothing yet.
@@ -78,7 +78,7 @@
 	case n.RateLimit != nil:
 		change = t.setLimit(u, *n.RateLimit, now)
 	case n.Success && !n.Unclear && len(t.records) > 0:
-		change = t.endLimit(u.Process())
+		change = t.endLimit(u.Process(), now)
 	}
 	if change != nil {
 		changes = append(changes, *change)
@@ -97,18 +97,19 @@
 func (t *Tracker) merge(s Statement, heardAt time.Duration) *Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.records[s.Process]
-	limited := r != nil && r.limited
+	r, known := t.records[s.Process]
+	limited := known && r.limited
+	newer := !known || r.limit.HeardAt < heardAt
 	switch {
 	case s.Leaving:
 		if t.setLeaving(s.Upstream, s.Process, heardAt) {
 			return &Change{Kind: ChangeLeaving, Process: s.Process}
 		}
 	case s.Ended:
-		if limited && r.limit.HeardAt < heardAt {
-			return t.endLimit(s.Process)
+		if limited && newer {
+			return t.endLimit(s.Process, heardAt)
 		}
-	case !limited:
+	case !limited && newer:
 		return t.startLimit(s.Upstream, s.Process, Limit{Rate: max(s.Rate, 0), HeardAt: heardAt})
 	}
 	return nil
@@ -170,13 +171,15 @@
 }
 
 // endLimit removes the limit of a process. It returns the change, if there was one.
-func (t *Tracker) endLimit(p nutmegview.Process) *Change {
+func (t *Tracker) endLimit(p nutmegview.Process, now time.Duration) *Change {
 	r, known := t.records[p]
 	if !known || !r.limited {
 		return nil
 	}
+	before := r.limit.Rate
 	r.limited = false
-	return &Change{Kind: ChangeEnded, Process: p, Before: r.limit.Rate}
+	r.limit = Limit{HeardAt: now}
+	return &Change{Kind: ChangeEnded, Process: p, Before: before}
 }
 
 // makeRoom forgets the process that was heard first, if there are too many.
--- a/internal/traffic/nutmegnotice/tracker_test.go
+++ b/internal/traffic/nutmegnotice/tracker_test.go
@@ -136,6 +136,12 @@
 	if _, ok := other.RateLimit(u); ok {
 		t.Error("the limit has not ended")
 	}
+	other.Record(u, "e", limited(9), 400)
+	other.Record(u, "f", Notice{Success: true}, 500)
+	other.Merge(statements[0], 50, 510)
+	if _, ok := other.RateLimit(u); ok {
+		t.Error("a limit that has ended is back with old news")
+	}
 }
 
 // TestLeavingLastsUntilTheProcessEnds guards against an upstream that leaves and gets
