--- a/internal/traffic/nutmegpermit/model_test.go
+++ b/internal/traffic/nutmegpermit/model_test.go
@@ -108,6 +108,7 @@
 type modelInstance struct {
 	entry     *nutmegview.Instance
 	view      []*nutmegview.Instance
+	homes     map[nutmegview.Process][]*nutmegview.Instance // by view
 	granter   *Granter
 	notices   *nutmegnotice.Tracker
 	startedAt time.Duration // also tells one process from the next
@@ -175,6 +176,7 @@
 	if !slices.Contains(i.view, i.entry) {
 		i.view = append(i.view, i.entry)
 	}
+	clear(i.homes)
 	m.after(refreshTime, func() { m.refresh(i) })
 }
 
@@ -189,7 +191,7 @@
 func (m *model) start(i *modelInstance, at time.Duration) {
 	*i = modelInstance{
 		entry: i.entry, joinedAt: i.joinedAt, view: m.entries(), listedAt: m.now, granter: NewGranter(), notices: m.newNotices(i), startedAt: at,
-		holds: make(map[int]time.Duration), skips: make(map[nutmegid.Instance]time.Duration), told: make(map[int]time.Duration),
+		homes: make(map[nutmegview.Process][]*nutmegview.Instance), holds: make(map[int]time.Duration), skips: make(map[nutmegid.Instance]time.Duration), told: make(map[int]time.Duration),
 	}
 }
 
@@ -330,7 +332,7 @@
 	if m.cfg.alone {
 		return i
 	}
-	for _, entry := range Homes(p, i.view) {
+	for _, entry := range i.homesOf(p) {
 		if i.skips[entry.Name] > m.now {
 			continue
 		}
@@ -343,9 +345,18 @@
 	return nil
 }
 
+func (i *modelInstance) homesOf(p nutmegview.Process) []*nutmegview.Instance {
+	homes, ok := i.homes[p]
+	if !ok {
+		homes = Homes(p, i.view)
+		i.homes[p] = homes
+	}
+	return homes
+}
+
 func (i *modelInstance) grant(r Request, now time.Duration) Reply {
 	known := now-i.joinedAt >= SettleTime && now-i.listedAt <= MaxListAge
-	first := known && Homes(r.Process, i.view)[0] == i.entry
+	first := known && i.homesOf(r.Process)[0] == i.entry
 	return i.granter.Ask(r, ShareOf(first), now)
 }
 
