--- a/internal/traffic/nutmegpermit/defaults.go
+++ b/internal/traffic/nutmegpermit/defaults.go
@@ -15,8 +15,9 @@
 const (
 	homeCount = 2 // homes of one limit, in order
 
-	// The shares of homes: a first one and two others together stay within one and a
-	// half times the stated rate, also when requests arrive late in bursts.
+	// The shares of homes: a first one and another one together stay within one and a
+	// half times the stated rate, also when requests arrive late in bursts. With two
+	// others that holds only for rates of up to 3 requests per second.
 	firstRate      = 0.9
 	firstBurst     = 1.5
 	firstRateBurst = 0.2
--- a/internal/traffic/nutmegplace/candidate.go
+++ b/internal/traffic/nutmegplace/candidate.go
@@ -27,7 +27,7 @@
 	reportedAt      time.Duration
 
 	saidLeaving      bool          // the process has said that it leaves
-	heldUntil        time.Duration // no request may be sent before, for the upstream's rate limit
+	heldUntil        time.Duration // no request may be sent before, as the upstream has stated
 	avoidUntil       time.Duration
 	failures         int           // consecutive
 	silentSince      time.Duration // last response, or first request since the upstream was idle
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -290,8 +290,8 @@
 	pl.candidate.updateLoad(l, now)
 }
 
-// Hold ends the placement of a request that was not sent, because the upstream's rate
-// limit does not permit it. No request is placed there for the given time.
+// Hold ends the placement of a request that was not sent, because the upstream has
+// stated that it takes none now. No request is placed there for the given time.
 func (p *Placer) Hold(pl *Placement, wait, now time.Duration) {
 	p.Done(pl, ResultNeutral, now)
 	p.mu.Lock()
