review: streams of a dropped service are charged too little

Cause: settling a stream asks the configuration in force at its end how many tokens an event of its service holds. Once the service is no longer listed, it takes one.

The stand-ins of the review's scripts are in review/standin.

--- /dev/null
+++ b/review/standin/fleet.go
@@ -0,0 +1,129 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	host = "desk.example"
+	key  = "key-of-rack-ipoh"
+)
+
+// fleet is a small deployment on loopback addresses: a store, workers and instances
+// of the project.
+type fleet struct {
+	root      string
+	dir       string // for settings and logs
+	trouble   bool
+	record    *record
+	store     *store
+	instances []*instance
+	stop      chan struct{} // ends the heartbeats of workers
+	version   int           // of the configuration
+	cleanup   []func()
+	once      sync.Once
+}
+
+func newFleet(root string, rec *record, trouble bool) (*fleet, error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	s, err := newStore()
+	if err != nil {
+		return nil, err
+	}
+	return &fleet{root: root, dir: dir, record: rec, trouble: trouble, store: s, stop: make(chan struct{})}, nil
+}
+
+// configure writes a configuration with the next version.
+func (f *fleet) configure(prepaid int, routes, services []map[string]any) {
+	f.version += 3
+	tenant := map[string]any{"name": "rack-ipoh", "apiKeys": []string{key}, "priority": 1}
+	if prepaid > 0 {
+		tenant["prepaid"] = prepaid
+	}
+	f.store.put("config", "main", map[string]any{
+		"version": f.version, "routes": routes, "services": services,
+		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants": []map[string]any{tenant},
+	})
+	f.record.add("the operator writes configuration %d", f.version)
+}
+
+func route(name, prefix, kind, service string, timeoutMs int) map[string]any {
+	r := map[string]any{
+		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "service": service, "timeoutMs": timeoutMs,
+		"targetLatencyMs": 1000, "priority": 1, "attempts": 1, "public": false, "stickySessions": kind == "streaming", "streamResumption": false,
+	}
+	if kind == "streaming" {
+		r["targetGapMs"] = 600
+	}
+	return r
+}
+
+func engineService(name string) map[string]any {
+	return map[string]any{
+		"name": name, "healthCheckPath": "/health", "connectionLimit": 360, "protocol": "h1", "tls": false,
+		"engine": map[string]any{
+			"slots": 64, "kvCacheTokens": 439142, "kvTokenBytes": 18432, "linkMbps": 370000.0, "moves": false, "backups": false,
+			"stride": tokensPerEvent, "models": []map[string]any{{"name": "m"}},
+		},
+	}
+}
+
+func plainService(name string) map[string]any {
+	return map[string]any{"name": name, "healthCheckPath": "/health", "connectionLimit": 96, "protocol": "h1", "tls": false}
+}
+
+// tokensPerEvent is how many tokens an event of an engine's stream holds.
+const tokensPerEvent = 5
+
+// startInstances starts instances in different zones and waits until they are ready.
+func (f *fleet) startInstances(zones ...string) error {
+	for n, zone := range zones {
+		i, err := startInstance(f.root, f.dir, fmt.Sprintf("frontend-%s-%d", zone, n+1), zone, f.store.address())
+		if err != nil {
+			return err
+		}
+		f.instances = append(f.instances, i)
+	}
+	for _, i := range f.instances {
+		if err := i.awaitReady(20 * time.Second); err != nil {
+			return err
+		}
+		f.record.add("instance %s is ready", i.name)
+	}
+	return nil
+}
+
+// addWorker starts a worker in this process.
+func (f *fleet) addWorker(w *worker, slots int) error {
+	w.record = f.record.add
+	if err := w.listen("127.0.0.1:0"); err != nil {
+		return err
+	}
+	w.register(f.store, slots, func() string { return "ready" }, f.stop)
+	return nil
+}
+
+// end ends all processes that the case has started.
+func (f *fleet) end() {
+	f.once.Do(func() {
+		close(f.stop)
+		for _, i := range f.instances {
+			i.kill()
+		}
+		for _, fn := range f.cleanup {
+			fn()
+		}
+		if os.Getenv("KEEP") == "" {
+			_ = os.RemoveAll(f.dir)
+		} else {
+			fmt.Println("logs in", f.dir)
+		}
+	})
+}
