review: the stand-ins stand in a folder platform

Change: review/standin is review/platform now. Instances can be started again, a configuration may have several tenants.

--- a/review/standin/fleet.go
+++ b/review/platform/fleet.go
@@ -23,8 +23,12 @@
 	instances []*instance
 	stop      chan struct{} // ends the heartbeats of workers
 	version   int           // of the configuration
-	cleanup   []func()
-	once      sync.Once
+	tenants   int           // 1 when zero
+	// storeFor returns the address of the store for the next instance; the store's own
+	// when nil.
+	storeFor func() (string, error)
+	cleanup  []func()
+	once     sync.Once
 }
 
 func newFleet(root string, rec *record, trouble bool) (*fleet, error) {
@@ -42,18 +46,30 @@
 // configure writes a configuration with the next version.
 func (f *fleet) configure(prepaid int, routes, services []map[string]any) {
 	f.version += 3
-	tenant := map[string]any{"name": "rack-ipoh", "apiKeys": []string{key}, "priority": 1}
-	if prepaid > 0 {
-		tenant["prepaid"] = prepaid
+	var list []map[string]any
+	for n := range max(f.tenants, 1) {
+		tenant := map[string]any{"name": fmt.Sprintf("rack-%d", n+1), "apiKeys": []string{tenantKey(n)}, "priority": 1}
+		if prepaid > 0 {
+			tenant["prepaid"] = prepaid
+		}
+		list = append(list, tenant)
 	}
 	f.store.put("config", "main", map[string]any{
 		"version": f.version, "routes": routes, "services": services,
 		"limits":  map[string]any{"headerBytes": 16384, "bodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{tenant},
+		"tenants": list,
 	})
 	f.record.add("the operator writes configuration %d", f.version)
 }
 
+// tenantKey returns the key of a tenant; the first one has key.
+func tenantKey(n int) string {
+	if n == 0 {
+		return key
+	}
+	return fmt.Sprintf("%s-%d", key, n+1)
+}
+
 func route(name, prefix, kind, service string, timeoutMs int) map[string]any {
 	r := map[string]any{
 		"name": name, "host": host, "pathPrefix": prefix, "kind": kind, "service": service, "timeoutMs": timeoutMs,
@@ -85,7 +101,14 @@
 // startInstances starts instances in different zones and waits until they are ready.
 func (f *fleet) startInstances(zones ...string) error {
 	for n, zone := range zones {
-		i, err := startInstance(f.root, f.dir, fmt.Sprintf("frontend-%s-%d", zone, n+1), zone, f.store.address())
+		address := f.store.address()
+		if f.storeFor != nil {
+			var err error
+			if address, err = f.storeFor(); err != nil {
+				return err
+			}
+		}
+		i, err := startInstance(f.root, f.dir, fmt.Sprintf("frontend-%s-%d", zone, n+1), zone, address)
 		if err != nil {
 			return err
 		}
--- a/review/standin/instance.go
+++ b/review/platform/instance.go
@@ -17,6 +17,9 @@
 	name      string
 	callers   string
 	readiness string
+	program   []string
+	boot      string // path of the settings
+	log       *os.File
 	process   *exec.Cmd
 	ended     chan struct{}
 }
@@ -32,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i := &instance{name: name, callers: "127.0.0.1:" + ports[0], readiness: "127.0.0.1:" + ports[1], ended: make(chan struct{})}
+	i := &instance{name: name, callers: "127.0.0.1:" + ports[0], readiness: "127.0.0.1:" + ports[1]}
 	settings := string(template)
 	for key, value := range map[string]string{
 		"node": name, "zone": zone, "region": "semenanjung", "ipAddress": "127.0.0.1",
@@ -59,18 +62,32 @@
 	if err != nil {
 		return nil, err
 	}
-	i.process = exec.Command(filepath.Join(root, program[0]), program[1:]...)
-	i.process.Dir = root
-	i.process.Env = []string{"NUTMEGWIND_BOOT=" + boot, "PATH=" + os.Getenv("PATH"), "HOME=" + dir}
-	i.process.Stdout, i.process.Stderr = log, log
-	if err := i.process.Start(); err != nil {
-		return nil, err
+	i.program, i.boot, i.log = program, boot, log
+	return i, i.start(root)
+}
+
+// start starts the process of the instance.
+func (i *instance) start(root string) error {
+	p := exec.Command(filepath.Join(root, i.program[0]), i.program[1:]...)
+	p.Dir = root
+	p.Env = []string{"NUTMEGWIND_BOOT=" + i.boot, "PATH=" + os.Getenv("PATH"), "HOME=" + filepath.Dir(i.boot)}
+	p.Stdout, p.Stderr = i.log, i.log
+	if err := p.Start(); err != nil {
+		return err
 	}
+	ended := make(chan struct{})
+	i.process, i.ended = p, ended
 	go func() {
-		_ = i.process.Wait()
-		close(i.ended)
+		_ = p.Wait()
+		close(ended)
 	}()
-	return i, nil
+	return nil
+}
+
+// restart starts the process again with the same settings, once it has ended.
+func (i *instance) restart(root string) error {
+	<-i.ended
+	return i.start(root)
 }
 
 // runLine returns the words of the line "run" of deploy/system.toml.
