--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -131,6 +131,13 @@
 	if d.Detail != "" {
 		entry = entry.WithField("detail", d.Detail)
 	}
+	if r := d.Record; r != nil {
+		e.count("attempts_" + string(r.Conclusion))
+		entry = entry.WithFields(logrus.Fields{
+			"upstream_process": r.Process, "kept_connection": r.KeptConnection, "sent": r.Sent.String(), "status": r.Status,
+			"conclusion": r.Conclusion, "policy": r.Policy,
+		})
+	}
 	if d.Kind == nutmegrelay.DecisionUpstreamEnded {
 		entry = entry.WithFields(logrus.Fields{"content": d.Content, "parts": d.Parts, "events": d.Events, "begun": d.Begun})
 	}
@@ -145,7 +152,7 @@
 	entry := e.event("request_ended").WithFields(logrus.Fields{
 		"request": c.ID, "route": c.Route.Name, "revision": c.Revision, "workspace": c.Workspace, "service": c.Service,
 		"upstream": o.Upstream, "upstreams_version": e.view.Upstreams().Version, "outcome": o.Reason, "run": o.Ran.String(),
-		"status": o.Status, "sends": o.Attempts, "events": o.Events, "bound": c.Prompt.MaxTokens(), "body_bytes": len(c.Body), "used": o.UsedTokens, "took_ms": took.Milliseconds(),
+		"status": o.Status, "sends": o.Attempts, "events": o.Events, "bound": c.Prompt.MaxTokens(), "body_bytes": len(c.Body), "used": o.UsedTokens, "policy": nutmegrelay.PolicyOf(c.Route), "took_ms": took.Milliseconds(),
 	})
 	if o.Detail != "" {
 		entry = entry.WithField("detail", o.Detail)
--- a/internal/traffic/nutmegconn/pool.go
+++ b/internal/traffic/nutmegconn/pool.go
@@ -62,6 +62,19 @@
 	SentAll
 )
 
+// String returns the value written to logs.
+func (s Sent) String() string {
+	switch s {
+	case SentNothing:
+		return "nothing"
+	case SentPart:
+		return "part"
+	case SentAll:
+		return "all"
+	}
+	return fmt.Sprintf("Sent(%d)", int(s))
+}
+
 // Error reports that a request got no response.
 type Error struct {
 	Address string
--- a/internal/traffic/nutmegconn/response.go
+++ b/internal/traffic/nutmegconn/response.go
@@ -23,6 +23,11 @@
 	return r
 }
 
+// Reused reports whether the connection had served an earlier request.
+func (r *Response) Reused() bool {
+	return r.conn.uses > 0
+}
+
 // EndsWithConnection reports whether the end of the connection is the only sign of
 // the end of the body.
 func (r *Response) EndsWithConnection() bool {
--- a/internal/traffic/nutmegrelay/attempt.go
+++ b/internal/traffic/nutmegrelay/attempt.go
@@ -35,6 +35,7 @@
 		return e.handleSendError(ctx, p, err)
 	}
 	defer resp.Close()
+	e.record = AttemptRecord{Sent: nutmegconn.SentAll, KeptConnection: resp.Reused(), Status: resp.StatusCode}
 	e.sent++
 	e.outcome.Attempts = e.sent
 	info := e.info
@@ -100,8 +101,10 @@
 func (e *exchange) handleSendError(ctx context.Context, p *nutmegplace.Placement, err error) (attemptResult, error) {
 	var failed *nutmegconn.Error
 	sent := nutmegconn.SentAll
+	e.record = AttemptRecord{Sent: sent}
 	if errors.As(err, &failed) {
 		sent = failed.Sent
+		e.record = AttemptRecord{Sent: sent, KeptConnection: failed.Reused}
 	}
 	if sent == nutmegconn.SentNothing && failed.Reused {
 		e.finish(ctx, p, nutmegplace.ResultNeutral)
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"time"
 
-	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegevent"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
@@ -33,7 +32,8 @@
 	sent       int // attempts that may have reached an upstream
 	executions int // attempts that may have run
 	ran        nutmegcall.Ran
-	info       ResponseInfo // of the latest response
+	info       ResponseInfo  // of the latest response
+	record     AttemptRecord // of the latest attempt
 	events     nutmegevent.Splitter
 	headerSent bool          // the response header was sent to the caller
 	beganAt    time.Duration // first event of the latest attempt; zero if there was none
@@ -89,7 +89,7 @@
 		if ctx.Err() != nil {
 			return e.interrupted(ctx)
 		}
-		e.logDecision(DecisionFailed, placement, err)
+		e.logFailed(placement, result, err)
 		if result == attemptUnknown && mayEndUpstream(err) {
 			e.checkUpstream(ctx, placement)
 		}
@@ -146,7 +146,7 @@
 	if e.executions >= route.MaxUpstreams {
 		return false
 	}
-	return route.RetryPolicy == nutmegview.Idempotent || route.Stream && route.Resumable
+	return PolicyOf(route) != PolicyOnce
 }
 
 // takeRetry takes a retry from the retry budget and reports whether there was one.
@@ -169,6 +169,15 @@
 	e.relay.cfg.OnDecision(e.call, Decision{Kind: kind, Upstream: p.Upstream.ID, Attempt: e.attempts, Err: err})
 }
 
+// logFailed logs an attempt that did not end the call.
+func (e *exchange) logFailed(p *nutmegplace.Placement, result attemptResult, err error) {
+	record := e.record
+	record.Process = p.Upstream.Process()
+	record.Conclusion = conclusion(result, record.Sent)
+	record.Policy = PolicyOf(e.call.Route)
+	e.relay.cfg.OnDecision(e.call, Decision{Kind: DecisionFailed, Upstream: p.Upstream.ID, Attempt: e.attempts, Err: err, Record: &record})
+}
+
 // interrupted ends a call whose caller has disconnected or whose deadline has
 // passed.
 func (e *exchange) interrupted(ctx context.Context) *nutmegcall.Refusal {
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -151,6 +151,8 @@
 	// upstream had gone on for a while after the first.
 	Events int64
 	Begun  bool
+	// Record holds the details of a DecisionFailed; nil otherwise.
+	Record *AttemptRecord
 }
 
 // DecisionKind is the kind of a Decision.
