--- /dev/null
+++ b/internal/ops/nutmegserve/departure.go
@@ -0,0 +1,215 @@
+package nutmegserve
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// departureInterval is how often connections are checked whose end net/http does
+// not see.
+const departureInterval = 50 * time.Millisecond
+
+// Watch returns a listener whose connections are watched until their caller leaves.
+// Start does this itself; only a listener that is wrapped with TLS needs it before.
+func Watch(l net.Listener) net.Listener {
+	return watchedListener{l}
+}
+
+type watchedListener struct {
+	net.Listener
+}
+
+// Accept implements net.Listener.
+func (l watchedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	socket, ok := c.(syscall.Conn)
+	if !ok {
+		return c, nil // TLS, over a connection that is watched, or no socket
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return c, nil // it has just ended, as its first read shows
+	}
+	return &watchedConn{Conn: c, raw: raw}, nil
+}
+
+// watchedConn is a caller's connection. While a request runs, net/http reads one byte
+// ahead to see the connection end. Once that byte has come, nobody reads, and further
+// bytes would hide the end.
+type watchedConn struct {
+	net.Conn
+	raw        syscall.RawConn
+	departures atomic.Pointer[departures] // nil until a server uses the connection
+	active     atomic.Bool                // from the head of a request until its response has ended
+	reads      atomic.Int32               // in flight
+
+	mu     sync.Mutex
+	cancel context.CancelFunc // of the request that is being handled; nil if there is none
+}
+
+// watchedConnOf returns the watched connection under c, nil if there is none.
+func watchedConnOf(c net.Conn) *watchedConn {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	w, _ := c.(*watchedConn)
+	return w
+}
+
+// Read implements net.Conn.
+func (c *watchedConn) Read(p []byte) (int, error) {
+	c.reads.Add(1)
+	n, err := c.Conn.Read(p)
+	c.reads.Add(-1)
+	if n > 0 && c.active.Load() {
+		c.departures.Load().add(c)
+	}
+	return n, err
+}
+
+func (c *watchedConn) setCancel(cancel context.CancelFunc) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cancel = cancel
+}
+
+// cancelRequest cancels the request that is being handled and reports whether there
+// was one.
+func (c *watchedConn) cancelRequest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel == nil {
+		return false
+	}
+	c.cancel()
+	return true
+}
+
+// hasEnded reports whether the caller has closed or reset the connection, whether or
+// not there are unread bytes.
+func (c *watchedConn) hasEnded() bool {
+	ended := false
+	err := c.raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		// After an error, such as an interrupt, the next check asks again.
+		ended = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return ended || err != nil // an error means that this side has closed it
+}
+
+// departures cancels the requests of callers whose leaving net/http does not see.
+type departures struct {
+	stop  chan struct{}
+	done  chan struct{}
+	added chan struct{} // receives after conns was empty
+
+	mu    sync.Mutex
+	conns map[*watchedConn]struct{} // that may hold bytes behind a running request
+}
+
+func newDepartures() *departures {
+	return &departures{
+		stop: make(chan struct{}), done: make(chan struct{}), added: make(chan struct{}, 1),
+		conns: make(map[*watchedConn]struct{}),
+	}
+}
+
+func (d *departures) add(c *watchedConn) {
+	d.mu.Lock()
+	d.conns[c] = struct{}{}
+	d.mu.Unlock()
+	select {
+	case d.added <- struct{}{}:
+	default:
+	}
+}
+
+// loop checks the connections that have been added until none is left.
+func (d *departures) loop() {
+	defer close(d.done)
+	for {
+		select {
+		case <-d.stop:
+			return
+		case <-d.added:
+		}
+		for remaining := true; remaining; {
+			select {
+			case <-d.stop:
+				return
+			case <-time.After(departureInterval):
+			}
+			remaining = d.check()
+		}
+	}
+}
+
+// check cancels the requests whose callers have left and reports whether
+// connections remain to be checked.
+func (d *departures) check() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for c := range d.conns {
+		switch {
+		case !c.active.Load(), c.reads.Load() > 0: // net/http sees the end
+			delete(d.conns, c)
+		case c.hasEnded() && c.cancelRequest():
+			delete(d.conns, c)
+		}
+	}
+	return len(d.conns) > 0
+}
+
+// close ends the loop.
+func (d *departures) close() {
+	close(d.stop)
+	<-d.done
+}
+
+// track follows the state of a connection.
+func (d *departures) track(c net.Conn, state http.ConnState) {
+	w := watchedConnOf(c)
+	if w == nil {
+		return
+	}
+	w.departures.Store(d)
+	w.active.Store(state == http.StateActive)
+}
+
+type watchedConnKey struct{}
+
+// withConn returns a context that holds a connection, for watch.
+func (d *departures) withConn(ctx context.Context, c net.Conn) context.Context {
+	if w := watchedConnOf(c); w != nil {
+		return context.WithValue(ctx, watchedConnKey{}, w)
+	}
+	return ctx
+}
+
+// watch returns a handler whose requests are canceled when their callers leave.
+func (d *departures) watch(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		c, ok := r.Context().Value(watchedConnKey{}).(*watchedConn)
+		if !ok {
+			next.ServeHTTP(w, r)
+			return
+		}
+		ctx, cancel := context.WithCancel(r.Context())
+		defer cancel()
+		c.setCancel(cancel)
+		defer c.setCancel(nil)
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
--- a/internal/ops/nutmegserve/server.go
+++ b/internal/ops/nutmegserve/server.go
@@ -1,4 +1,6 @@
-// Package nutmegserve runs an HTTP server that stops gracefully.
+// Package nutmegserve runs an HTTP server that stops gracefully. The context of a
+// request ends when its caller leaves, also if the caller has sent further bytes after
+// the request.
 //
 // # Usage
 //
@@ -30,25 +32,36 @@
 
 // Server is a running HTTP server.
 type Server struct {
-	http *http.Server
-	done chan struct{} // closed when the server no longer accepts connections
+	http       *http.Server
+	departures *departures
+	done       chan struct{} // closed when the server no longer accepts connections
 }
 
 // Start serves on a listener until Stop or Kill.
 func Start(l net.Listener, cfg Config) *Server {
+	d := newDepartures()
 	s := &Server{
+		departures: d,
 		http: &http.Server{
-			Handler:           cfg.Handler,
+			Handler:           d.watch(cfg.Handler),
 			ReadHeaderTimeout: cfg.HeaderTimeout,
 			IdleTimeout:       cfg.IdleTimeout,
 			WriteTimeout:      cfg.WriteTimeout,
 			MaxHeaderBytes:    cfg.MaxHeaderBytes,
-			ConnState:         cfg.ConnState,
+			ConnContext:       d.withConn,
+			ConnState:         d.track,
 			ErrorLog:          log.New(debugWriter{cfg.Log}, "", 0),
 		},
 		done: make(chan struct{}),
 	}
-	go s.run(l)
+	if cfg.ConnState != nil {
+		s.http.ConnState = func(c net.Conn, state http.ConnState) {
+			d.track(c, state)
+			cfg.ConnState(c, state)
+		}
+	}
+	go d.loop()
+	go s.run(Watch(l))
 	return s
 }
 
@@ -65,6 +78,7 @@
 		_ = s.http.Close()
 	}
 	<-s.done
+	s.departures.close()
 	return err
 }
 
@@ -72,6 +86,7 @@
 func (s *Server) Kill() {
 	_ = s.http.Close()
 	<-s.done
+	s.departures.close()
 }
 
 // debugWriter logs the messages of net/http at debug level: they concern single
--- a/nutmegnode/server.go
+++ b/nutmegnode/server.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	wrapped, err := listenTLS(l, c, n.certificateFailed)
+	wrapped, err := listenTLS(nutmegserve.Watch(l), c, n.certificateFailed)
 	if err != nil {
 		_ = l.Close()
 	}
