--- a/internal/traffic/nutmegconn/pool.go
+++ b/internal/traffic/nutmegconn/pool.go
@@ -210,6 +210,9 @@
 	// MaxIdleAge limits how long a pooled connection may have been idle; zero
 	// means no limit besides the connection's own timeout.
 	MaxIdleAge time.Duration
+	// NewConnection keeps the request off connections that have served earlier ones:
+	// a late copy of the answer to its own earlier attempt would pass Check.
+	NewConnection bool
 }
 
 // Send sends a request and returns the response once its header has been read.
@@ -252,13 +255,13 @@
 }
 
 // pop removes and returns the most recently used idle connection, or nil if there
-// is none or it has been idle for too long.
+// is none, it has been idle for too long, or the request needs a new one.
 func (p *Pool) pop(r Request) *conn {
 	now := p.cfg.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	conns := p.idle[r.Address]
-	if len(conns) == 0 {
+	if len(conns) == 0 || r.NewConnection {
 		return nil
 	}
 	c := conns[len(conns)-1]
--- a/internal/traffic/nutmegrelay/attempt.go
+++ b/internal/traffic/nutmegrelay/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
@@ -77,6 +78,8 @@
 		ResumeAfter: e.resumeAfter(),
 	})
 	request := nutmegconn.Request{Address: p.Upstream.Address, HTTP: req, Body: e.call.Body, Check: e.check}
+	request.NewConnection = slices.Contains(e.addresses, p.Upstream.Address)
+	e.addresses = append(e.addresses, p.Upstream.Address)
 	if !e.mayRetryAfterRun() {
 		request.MaxIdleAge = noRetryMaxIdleAge
 	}
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -28,6 +28,7 @@
 	reservation Reservation
 
 	exclude    []nutmegid.Upstream // upstreams that this call has tried
+	addresses  []string            // that this call has been sent to
 	attempts   int
 	sent       int // attempts that may have reached an upstream
 	executions int // attempts that may have run
