--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 )
 
@@ -35,6 +36,10 @@
 		return
 	}
 	defer release()
+	if nutmegserve.HasLeft(r.Context()) {
+		e.refuse(w, r, info, &nutmegcall.Refusal{Reason: nutmegcall.ReasonCallerLeft, Detail: "the caller left before its request was handled"}, arrived)
+		return
+	}
 	e.serveCall(w, r, info, call)
 }
 
--- a/internal/ops/nutmegserve/departure.go
+++ b/internal/ops/nutmegserve/departure.go
@@ -109,6 +109,14 @@
 	return ended || err != nil // an error means that this side has closed it
 }
 
+// HasLeft reports whether the caller of a request has closed its connection, also if
+// net/http has not noticed it yet: on a busy machine a request may be handled long
+// after its caller has left.
+func HasLeft(ctx context.Context) bool {
+	c, ok := ctx.Value(watchedConnKey{}).(*watchedConn)
+	return ctx.Err() != nil || ok && c.hasEnded()
+}
+
 // departures cancels the requests of callers whose leaving net/http does not see.
 type departures struct {
 	stop  chan struct{}
