--- a/internal/ops/nutmegserve/departure.go
+++ b/internal/ops/nutmegserve/departure.go
@@ -33,15 +33,20 @@
 	if err != nil {
 		return nil, err
 	}
+	return watchConn(c), nil
+}
+
+// watchConn returns a watched connection, or c itself if there is no socket to ask:
+// TLS lies over a connection that is watched.
+func watchConn(c net.Conn) net.Conn {
 	socket, ok := c.(syscall.Conn)
 	if !ok {
-		return c, nil // TLS, over a connection that is watched, or no socket
+		return c
 	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return c, nil // it has just ended, as its first read shows
+	if raw, err := socket.SyscallConn(); err == nil {
+		return &watchedConn{Conn: c, raw: raw}
 	}
-	return &watchedConn{Conn: c, raw: raw}, nil
+	return c // it has just ended, as its first read shows
 }
 
 // watchedConn is a caller's connection. While a request runs, net/http reads one byte
--- a/internal/ops/nutmegserve/departure_test.go
+++ b/internal/ops/nutmegserve/departure_test.go
@@ -63,7 +63,8 @@
 
 func dial(t *testing.T, address string) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", address)
+	var d net.Dialer
+	c, err := d.DialContext(t.Context(), "tcp", address)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -147,6 +148,7 @@
 					t.Fatal(err)
 				}
 				body, err := io.ReadAll(resp.Body)
+				_ = resp.Body.Close()
 				if err != nil || string(body) != want {
 					t.Errorf("answer %q, %v; want %q", body, err, want)
 				}
