--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 	go run ./cmd/nutmegload replay -json -parallel 4 traces/*.toml traces/*/*.toml
 
 # Random runs: SEEDS of separate processes, and 20 of an embedded fleet. CI plays the
-# first two seeds of the processes with the other tests.
+# seeds that have failed before, with the other tests.
 SEEDS := 50
 soak:
 	go test -count=1 -timeout 0 -v -run TestSoakRunsOnce ./platform -soak.seeds=$(SEEDS)
