--- a/nutmegtrace/load.go
+++ b/nutmegtrace/load.go
@@ -97,7 +97,7 @@
 	for _, s := range t.Steps {
 		if s.Duration > 0 {
 			end := s
-			end.At, end.end = s.At+s.Duration, true
+			end.At, end.end, end.Wait = s.At+s.Duration, true, false
 			steps = append(steps, end)
 		}
 	}
--- a/nutmegtrace/replay.go
+++ b/nutmegtrace/replay.go
@@ -124,7 +124,7 @@
 	return record, r.target.get(ctx, r.target.PlatformURL+"/records", &record)
 }
 
-// runSteps starts every step at its time, waits for all of them and ends all faults.
+// runSteps starts every step at its time, one that waits when the earlier ones have ended, waits for all of them and ends all faults.
 func (r *replayer) runSteps(ctx context.Context) error {
 	schedule := r.trace.Schedule(r.cfg.Seed, r.cfg.Speed)
 	start := time.Now()
@@ -144,6 +144,11 @@
 			return ctx.Err()
 		case <-time.After(time.Until(due)):
 		}
+		if step.Wait {
+			wait.Wait()
+			start = start.Add(max(0, time.Since(due))) // later steps keep their distance
+			due = start.Add(time.Duration(step.at))
+		}
 		for range max(1, step.Repeat) {
 			number++
 			request := &CallerRequest{Step: step, Number: number, DueAt: due}
--- a/nutmegtrace/trace.go
+++ b/nutmegtrace/trace.go
@@ -72,6 +72,7 @@
 	At       nutmegconf.Duration `toml:"at"`
 	Duration nutmegconf.Duration `toml:"for"` // after which a fault ends by itself
 	Action   Action              `toml:"do"`
+	Wait     bool                `toml:"wait"` // begins only once all earlier steps have ended
 
 	// Requests.
 	Instance     int                `toml:"instance"` // from 0; AnyInstance picks them round-robin
