--- a/internal/ops/nutmegserve/departure.go
+++ b/internal/ops/nutmegserve/departure.go
@@ -101,8 +101,8 @@
 	return true
 }
 
-// hasEnded reports whether the caller has closed or reset the connection, whether or
-// not there are unread bytes.
+// hasEnded reports whether the caller has closed or reset the connection, also while
+// there are unread bytes. It takes none of them.
 func (c *watchedConn) hasEnded() bool {
 	ended := false
 	err := c.raw.Control(func(fd uintptr) {
@@ -124,9 +124,10 @@
 
 // departures cancels the requests of callers whose leaving net/http does not see.
 type departures struct {
-	stop  chan struct{}
-	done  chan struct{}
-	added chan struct{} // receives after conns was empty
+	stop     chan struct{}
+	stopOnce sync.Once
+	done     chan struct{}
+	added    chan struct{} // receives when connections have been added
 
 	mu    sync.Mutex
 	conns map[*watchedConn]struct{} // that may hold bytes behind a running request
@@ -185,9 +186,9 @@
 	return len(d.conns) > 0
 }
 
-// close ends the loop.
+// close ends the loop. Calls after the first have no effect.
 func (d *departures) close() {
-	close(d.stop)
+	d.stopOnce.Do(func() { close(d.stop) })
 	<-d.done
 }
 
--- a/internal/ops/nutmegserve/departure_test.go
+++ b/internal/ops/nutmegserve/departure_test.go
@@ -111,6 +111,18 @@
 	}
 }
 
+func TestServerMayBeKilledAfterItsStop(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := Start(l, Config{Handler: http.NotFoundHandler(), Log: logrus.NewEntry(logrus.New())})
+	if err := server.Stop(t.Context()); err != nil {
+		t.Error(err)
+	}
+	server.Kill()
+}
+
 func TestCallerThatLeavesOverTLSIsNoticedBehindFurtherBytes(t *testing.T) {
 	s := newTestServer(t, withTLS(t))
 	raw := dial(t, s.address)
