view: types for evacuations, regions and cold upstreams

Cause: the operator may evacuate a failure domain, name the regions in which requests of a route or workspace may run, and limit the rate to cold upstreams; nothing keeps these.

Nothing acts on them yet.

Measured: the tests of nutmegview and platform pass.

--- a/internal/fleet/nutmegview/config.go
+++ b/internal/fleet/nutmegview/config.go
@@ -58,6 +58,8 @@
 	LatencyTarget time.Duration // for the response, or for the first event of a stream
 	MaxEventGap   time.Duration // target for the time between events of a stream
 	Priority      int           // 0 is the most urgent
+	// Regions are the only ones in which requests may run; all may if it is empty.
+	Regions []nutmegid.Region
 }
 
 // ServiceConfig configures a service.
@@ -67,6 +69,11 @@
 	// together.
 	MaxConnections int
 	Engine         *Engine // nil for a plain service
+	// WarmupTime is how long an upstream is cold after its start.
+	WarmupTime time.Duration
+	// WarmupRate limits the requests per second from all instances together to an
+	// upstream that is cold; 0 means that nothing is stated.
+	WarmupRate float64
 }
 
 // Engine describes the inference engines of a service.
@@ -83,6 +90,8 @@
 	Priority *int            // overrides the route's if set
 	Prepaid  nutmegid.Tokens // total for the day
 	Metered  bool            // Prepaid is enforced
+	// Regions are the only ones in which requests may run; all may if it is empty.
+	Regions []nutmegid.Region
 }
 
 // Limits bounds the requests of callers.
--- a/internal/fleet/nutmegview/view.go
+++ b/internal/fleet/nutmegview/view.go
@@ -11,12 +11,14 @@
 // View is an instance's local view of its deployment. The configuration's revision
 // never decreases.
 type View struct {
-	config    atomic.Pointer[Config]
-	upstreams atomic.Pointer[Upstreams]
+	config      atomic.Pointer[Config]
+	upstreams   atomic.Pointer[Upstreams]
+	evacuations atomic.Pointer[map[nutmegid.FailureDomain]EvacuationChange] // the latest of each domain; read-only once set
 
-	mu          sync.Mutex
-	onConfig    []func(*Config)
-	onUpstreams []func(*Upstreams)
+	mu           sync.Mutex
+	onConfig     []func(*Config)
+	onUpstreams  []func(*Upstreams)
+	onEvacuation []func(EvacuationChange)
 }
 
 // Upstreams is the set of upstreams that take requests at one version of the
@@ -31,6 +33,7 @@
 func New() *View {
 	v := &View{}
 	v.upstreams.Store(&Upstreams{})
+	v.evacuations.Store(&map[nutmegid.FailureDomain]EvacuationChange{})
 	return v
 }
 
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -22,7 +22,7 @@
 type EntryInstanceSettings struct {
 	Name          nutmegid.Instance      `toml:"name"`
 	FailureDomain nutmegid.FailureDomain `toml:"failure_domain"`
-	Region        string                 `toml:"region"`
+	Region        nutmegid.Region        `toml:"region"`
 }
 
 // EntryListenSettings are the listen addresses of the instance, as "ip:port".
--- a/nutmegid/id.go
+++ b/nutmegid/id.go
@@ -42,6 +42,9 @@
 // FailureDomain is the name of a zone whose instances fail together.
 type FailureDomain string
 
+// Region is the name of a group of failure domains in one jurisdiction.
+type Region string
+
 // Upstream is the name of one backend: a model engine or a plain service.
 type Upstream string
 
