peer: a test of gossip in two halves knows its premises

Change: each half is connected and knows one peer of the other before the cut, and each peer has to hold all items of its own half. The end, 60 items everywhere, is as before.

--- a/nutmegpeer/gossip_test.go
+++ b/nutmegpeer/gossip_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"net"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 )
@@ -41,6 +43,40 @@
 	}
 }
 
+// awaitItemsOf waits until every given peer holds all n items of one peer. It may hold
+// others: an exchange that began before a split may end after it.
+func (f *testFleet) awaitItemsOf(t *testing.T, indexes []int, owner, n int) {
+	t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	prefix := fmt.Sprint(owner, "-")
+	for _, i := range indexes {
+		for held := 0; held != n; time.Sleep(time.Millisecond) {
+			held = 0
+			for _, item := range f.peers[i].Gossip().Items(urgentKind) {
+				if strings.HasPrefix(item.Key, prefix) {
+					held++
+				}
+			}
+			if time.Now().After(deadline) {
+				t.Fatalf("peer %d holds %d items of peer %d; want %d", i, held, owner, n)
+			}
+		}
+	}
+}
+
+// awaitKnown waits until a peer has another one in its list of members.
+func (f *testFleet) awaitKnown(t *testing.T, i, other int) {
+	t.Helper()
+	deadline := time.Now().Add(testTimeout)
+	isOther := func(m Member) bool { return m.Address == f.peers[other].address }
+	for !slices.ContainsFunc(f.peers[i].Members(), isOther) {
+		if time.Now().After(deadline) {
+			t.Fatalf("peer %d does not know peer %d", i, other)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // TestManyUrgentItemsReachEveryPeer guards against items beyond those of one digest
 // that wait for the next round.
 func TestManyUrgentItemsReachEveryPeer(t *testing.T) {
@@ -60,14 +96,18 @@
 		cfg.DeadAfter = time.Minute
 	})
 	f.registerUrgent()
-	for _, p := range f.peers {
-		p.SetSeeds([]string{f.peers[0].address, f.peers[2].address})
-		p.Announce()
+	// Both halves are connected in themselves and know one peer of the other.
+	for i, seed := range []int{2, 0, 0, 2, 2} {
+		f.peers[i].SetSeeds([]string{f.peers[seed].address})
+		f.peers[i].Announce()
+		f.awaitKnown(t, i, seed)
+		f.awaitKnown(t, seed, i)
 	}
 	f.split([]int{0, 1}, []int{2, 3, 4})
 	f.put(t, 0, 30)
 	f.put(t, 2, 30)
-	f.awaitItems(t, []int{0, 1, 2, 3, 4}, 30)
+	f.awaitItemsOf(t, []int{0, 1}, 0, 30)
+	f.awaitItemsOf(t, []int{2, 3, 4}, 2, 30)
 	f.split(nil, nil)
 	f.awaitItems(t, firstPeers(5), 60)
 }
