--- a/internal/fleet/nutmegfeed/feed.go
+++ b/internal/fleet/nutmegfeed/feed.go
@@ -30,11 +30,11 @@
 )
 
 const (
-	// FeederWait is how long a feeder's poll of the store waits for a change.
+	// FeederWait is how long a feeder's poll of the store waits for a change by default.
 	FeederWait = 800 * time.Millisecond
 
-	peerWait   = 700 * time.Millisecond // how long a feeder waits for a change
-	peerMargin = 400 * time.Millisecond // added to peerWait until the feeder counts as silent
+	peerWait   = 700 * time.Millisecond // how long a feeder lets others wait for a change by default
+	peerMargin = 400 * time.Millisecond // added to Config.PeerWait until the feeder counts as silent
 	minBackoff = 2 * time.Second        // until a feeder that failed is asked again
 	maxBackoff = 16 * time.Second
 	// minStorePause and maxStorePause bound the pause between polls of a store that
@@ -62,6 +62,10 @@
 	Fetch func(ctx context.Context, feeder nutmegview.Instance, request nutmegpeer.ChangesRequest) (nutmegpeer.ChangesReply, error)
 	// MaxAge returns the greatest age of a feeder's answer that is used.
 	MaxAge func() time.Duration
+	// FeederWait is how long a feeder's poll of the store waits for a change, and
+	// PeerWait how long a feeder lets others wait. Zero means the package's defaults.
+	FeederWait time.Duration
+	PeerWait   time.Duration
 	// OnConfirmed, if not nil, is called when a feeder's answer shows that the store
 	// answered at a time.
 	OnConfirmed func(at time.Time)
@@ -120,6 +124,12 @@
 	if cfg.OnSwitch == nil {
 		cfg.OnSwitch = func(Switch) {}
 	}
+	if cfg.FeederWait == 0 {
+		cfg.FeederWait = FeederWait
+	}
+	if cfg.PeerWait == 0 {
+		cfg.PeerWait = peerWait
+	}
 	return &Feed{cfg: cfg, log: newChangeLog(), backoffs: make(map[nutmegid.Incarnation]backoff)}
 }
 
@@ -130,7 +140,7 @@
 	sources := f.cfg.Sources(f.backedOff)
 	if len(sources.Feeders) == 0 {
 		if sources.Feeding {
-			wait = min(wait, FeederWait)
+			wait = min(wait, f.cfg.FeederWait)
 		}
 		return f.pollStore(ctx, kind, since, wait, nil)
 	}
@@ -147,7 +157,7 @@
 	if err == nil || ctx.Err() != nil || f.store.active() {
 		return changes, err
 	}
-	return f.pollStore(ctx, kind, since, min(wait, FeederWait), err)
+	return f.pollStore(ctx, kind, since, min(wait, f.cfg.FeederWait), err)
 }
 
 // pollStore polls the store, because of the error of a feeder if it is not nil.
@@ -168,9 +178,9 @@
 // fetch asks a feeder for changes. A feeder that gives no recent answer is not
 // asked again for some time.
 func (f *Feed) fetch(ctx context.Context, feeder nutmegview.Instance, since nutmegid.Version) (nutmegstore.Changes, error) {
-	callCtx, cancel := context.WithTimeout(ctx, peerWait+peerMargin)
+	callCtx, cancel := context.WithTimeout(ctx, f.cfg.PeerWait+peerMargin)
 	defer cancel()
-	reply, err := f.cfg.Fetch(callCtx, feeder, nutmegpeer.ChangesRequest{Kind: f.cfg.Kind, Since: since, Wait: peerWait})
+	reply, err := f.cfg.Fetch(callCtx, feeder, nutmegpeer.ChangesRequest{Kind: f.cfg.Kind, Since: since, Wait: f.cfg.PeerWait})
 	switch {
 	case err == nil && reply.Unconfirmed:
 		return nutmegstore.Changes{}, errUnconfirmed
--- a/internal/fleet/nutmegview/evacuation.go
+++ b/internal/fleet/nutmegview/evacuation.go
@@ -1,6 +1,10 @@
 package nutmegview
 
 import (
+	"cmp"
+	"maps"
+	"slices"
+
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
@@ -18,8 +22,13 @@
 	v.onEvacuation = append(v.onEvacuation, fn)
 }
 
+// maxEvacuations limits the failure domains whose latest change is kept: any name may
+// be evacuated.
+const maxEvacuations = 256
+
 // ApplyEvacuation applies a change if it is newer than the latest one of its failure
-// domain, and reports whether it did.
+// domain, and reports whether it did. It ignores a change if too many domains are
+// evacuated.
 func (v *View) ApplyEvacuation(c EvacuationChange) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -28,10 +37,11 @@
 		return false
 	}
 	after := make(map[nutmegid.FailureDomain]EvacuationChange, len(*before)+1)
-	for domain, change := range *before {
-		after[domain] = change
-	}
+	maps.Copy(after, *before)
 	after[c.FailureDomain] = c
+	if len(after) > maxEvacuations && !forgetEnded(after) {
+		return false
+	}
 	v.evacuations.Store(&after)
 	for _, fn := range v.onEvacuation {
 		fn(c)
@@ -44,3 +54,27 @@
 func (v *View) IsEvacuated(d nutmegid.FailureDomain) bool {
 	return (*v.evacuations.Load())[d].Evacuated
 }
+
+// Evacuations returns the latest change of each failure domain, in order of the
+// domains' names.
+func (v *View) Evacuations() []EvacuationChange {
+	return slices.SortedFunc(maps.Values(*v.evacuations.Load()), func(a, b EvacuationChange) int {
+		return cmp.Compare(a.FailureDomain, b.FailureDomain)
+	})
+}
+
+// forgetEnded removes the oldest change that ends an evacuation, and reports whether
+// there was one.
+func forgetEnded(changes map[nutmegid.FailureDomain]EvacuationChange) bool {
+	var oldest *EvacuationChange
+	for _, c := range changes {
+		if !c.Evacuated && (oldest == nil || c.Version < oldest.Version) {
+			oldest = &c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(changes, oldest.FailureDomain)
+	return true
+}
--- a/internal/fleet/nutmegview/view.go
+++ b/internal/fleet/nutmegview/view.go
@@ -14,6 +14,7 @@
 	config      atomic.Pointer[Config]
 	upstreams   atomic.Pointer[Upstreams]
 	evacuations atomic.Pointer[map[nutmegid.FailureDomain]EvacuationChange] // the latest of each domain; read-only once set
+	regions     map[nutmegid.FailureDomain]nutmegid.Region                  // read-only
 
 	mu           sync.Mutex
 	onConfig     []func(*Config)
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -32,17 +32,23 @@
 	storeOutageAfter = 2800 * time.Millisecond // an outage starts this long after the last successful response
 	// budgetsPerShard is the number of budgets per store object. More budgets make
 	// commits larger and conflicts likelier; fewer require more commits.
-	budgetsPerShard       = 5
-	fetchConfigInterval   = 600 * time.Millisecond
-	maxCrashReports       = 512
-	maxAcquittals         = 512
-	maxSuspectItemBytes   = 3 << 10                 // of a gossip item about suspects
-	suspectsStoreTimeout  = 1200 * time.Millisecond // for one read or write of the suspects
-	suspectsRetryInterval = time.Second
-	maxQueuedRates        = 256 // changed rate limits that homes are not told of yet
-	maxNoticeItems        = 2048
-	maxNoticeItemBytes    = 512                    // of a gossip item about what an upstream states
-	noticeLifetime        = 10 * time.Minute       // of such an item
+	budgetsPerShard        = 5
+	fetchConfigInterval    = 600 * time.Millisecond
+	maxCrashReports        = 512
+	maxAcquittals          = 512
+	maxSuspectItemBytes    = 3 << 10                 // of a gossip item about suspects
+	suspectsStoreTimeout   = 1200 * time.Millisecond // for one read or write of the suspects
+	suspectsRetryInterval  = time.Second
+	maxQueuedRates         = 256 // changed rate limits that homes are not told of yet
+	maxNoticeItems         = 2048
+	maxNoticeItemBytes     = 512              // of a gossip item about what an upstream states
+	noticeLifetime         = 10 * time.Minute // of such an item
+	maxEvacuationItems     = 256
+	maxEvacuationItemBytes = 768              // of a gossip item about an evacuation
+	evacuationLifetime     = 30 * time.Minute // of such an item
+	// evacuationWaitDivisor divides the bound of evacuations: a poll for changes waits that
+	// long. A connection that has fallen silent shows only after it.
+	evacuationWaitDivisor = 3
 	permitTimeout         = 120 * time.Millisecond // of a question to the home of a rate limit
 	permitRetryInterval   = 500 * time.Millisecond // until a home that has not answered is asked again
 	feedMargin            = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -61,6 +61,7 @@
 	UpstreamCodec  nutmegrelay.Codec
 	ConfigKey      nutmegstore.Key // object that holds the configuration
 	UpstreamKind   string          // kind of the objects that list upstreams
+	EvacuationKind string          // kind of the objects that evacuate failure domains; named after them
 	DecodeConfig   func(value []byte) (*nutmegview.Config, error)
 	DecodeUpstream func(nutmegstore.Object) (nutmegview.Upstream, error)
 }
@@ -88,6 +89,7 @@
 	upstreamFeed     *nutmegfeed.Feed
 	configFollower   *nutmegfollow.ConfigFollower
 	upstreamFollower *nutmegfollow.UpstreamFollower
+	evacuations      *evacuations // nil unless the settings ask for it
 	roster           *nutmegroster.Roster
 	placer           *nutmegplace.Placer
 	pool             *nutmegconn.Pool
@@ -135,6 +137,7 @@
 	e.traffic = &nutmegconn.Traffic{}
 	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.overload = &overload{entry: e, done: make(chan struct{})}
+	e.view.SetRegions(cfg.Settings.Regions)
 	e.buildSuspects()
 	e.buildNotices()
 	e.buildStore()
@@ -164,6 +167,7 @@
 	})
 	e.writer = nutmegstore.NewWriter(e.client, e.incarnation)
 	e.buildFeeds()
+	e.evacuations = newEvacuations(e)
 	e.configFollower = nutmegfollow.NewConfigFollower(nutmegfollow.ConfigFollowerConfig{
 		Store: e.client, Source: e.configFeed, Key: e.cfg.Platform.ConfigKey, Decode: e.cfg.Platform.DecodeConfig, View: e.view, OnDecodeError: e.configUnreadable,
 	})
@@ -192,7 +196,7 @@
 	e.pool = nutmegconn.NewPool(nutmegconn.PoolConfig{
 		Dial: e.dialer.Dial, OnOpen: func() { opened.Inc(1) },
 	})
-	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64()})
+	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64(), Locations: e.view})
 	e.retries = nutmegretry.NewBudget(nutmegretry.Config{
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
@@ -208,6 +212,7 @@
 // peersStarted continues the start once the fleet's key and number of shards are
 // known. The instance is ready only after that, with the suspects of the fleet.
 func (e *Entry) peersStarted(shards int) {
+	e.evacuations.peersStarted()
 	e.suspectStore.read(e.requestsCtx)
 	e.meter.Open(shards)
 	e.resendReports()
@@ -240,6 +245,9 @@
 	e.stopFollowing = cancel
 	e.configFollower.Start(ctx)
 	e.upstreamFollower.Start(ctx)
+	if e.evacuations != nil {
+		e.evacuations.follower.Start(ctx)
+	}
 	e.roster.Start(ctx, e.traffic.Listener(peers))
 	go e.fetchConfigLoop(ctx)
 	go e.overload.loop(ctx)
@@ -275,7 +283,7 @@
 
 // Ready reports whether the instance accepts new callers.
 func (e *Entry) Ready() bool {
-	return e.drain.Load() == nil && !e.overload.active() && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0
+	return e.drain.Load() == nil && !e.overload.active() && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0 && e.evacuations.known()
 }
 
 func (e *Entry) serve(l net.Listener, h http.Handler) *nutmegserve.Server {
--- a/internal/instance/nutmegentry/feeds.go
+++ b/internal/instance/nutmegentry/feeds.go
@@ -16,22 +16,29 @@
 
 // buildFeeds builds the sources of configurations and upstreams.
 func (e *Entry) buildFeeds() {
-	e.configFeed = e.newFeed(e.cfg.Platform.ConfigKey.Kind, func() time.Duration { return nutmegfeed.FeederWait + feedMargin })
-	e.upstreamFeed = e.newFeed(e.cfg.Platform.UpstreamKind, func() time.Duration {
-		return nutmegfollow.BatchPause(len(e.view.Upstreams().ByID)) + nutmegfeed.FeederWait + feedMargin
+	e.configFeed = e.newFeed(nutmegfeed.Config{
+		Kind: e.cfg.Platform.ConfigKey.Kind, MaxAge: func() time.Duration { return nutmegfeed.FeederWait + feedMargin },
 	})
-}
-
-func (e *Entry) newFeed(kind string, maxAge func() time.Duration) *nutmegfeed.Feed {
-	return nutmegfeed.New(nutmegfeed.Config{
-		Kind: kind, Store: e.client, MaxAge: maxAge, OnConfirmed: e.client.ConfirmUp, OnSwitch: e.sourceSwitched,
-		Sources: func(skip func(nutmegid.Incarnation) bool) nutmegfeed.Sources { return e.roster.Sources(skip) },
-		Fetch: func(ctx context.Context, feeder nutmegview.Instance, request nutmegpeer.ChangesRequest) (nutmegpeer.ChangesReply, error) {
-			return e.roster.FetchChanges(ctx, feeder, request)
+	e.upstreamFeed = e.newFeed(nutmegfeed.Config{
+		Kind: e.cfg.Platform.UpstreamKind,
+		MaxAge: func() time.Duration {
+			return nutmegfollow.BatchPause(len(e.view.Upstreams().ByID)) + nutmegfeed.FeederWait + feedMargin
 		},
 	})
 }
 
+// newFeed returns a feed with this instance's store and peers.
+func (e *Entry) newFeed(cfg nutmegfeed.Config) *nutmegfeed.Feed {
+	cfg.Store = e.client
+	cfg.OnConfirmed = e.client.ConfirmUp
+	cfg.OnSwitch = e.sourceSwitched
+	cfg.Sources = func(skip func(nutmegid.Incarnation) bool) nutmegfeed.Sources { return e.roster.Sources(skip) }
+	cfg.Fetch = func(ctx context.Context, feeder nutmegview.Instance, request nutmegpeer.ChangesRequest) (nutmegpeer.ChangesReply, error) {
+		return e.roster.FetchChanges(ctx, feeder, request)
+	}
+	return nutmegfeed.New(cfg)
+}
+
 // sourceSwitched logs from whom this instance gets changes of the store.
 func (e *Entry) sourceSwitched(s nutmegfeed.Switch) {
 	e.count("change_source_switches")
@@ -61,5 +68,8 @@
 	case e.cfg.Platform.UpstreamKind:
 		return e.upstreamFeed.ChangesSince(ctx, request)
 	}
+	if e.evacuations != nil && request.Kind == e.cfg.Platform.EvacuationKind {
+		return e.evacuations.feed.ChangesSince(ctx, request)
+	}
 	return nutmegpeer.ChangesReply{}, fmt.Errorf("this instance does not follow objects of kind %q", request.Kind)
 }
--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -69,6 +69,9 @@
 	if config == nil {
 		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonNoConfig, RetryAfter: refusalRetryAfter, Detail: "this instance has no configuration yet"}
 	}
+	if !e.evacuations.known() {
+		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonNoConfig, RetryAfter: refusalRetryAfter, Detail: "this instance does not know yet which failure domains are evacuated"}
+	}
 	route, ok := config.Match(r.Host, r.URL.EscapedPath())
 	if !ok {
 		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonUnknownRoute, Detail: "no route matches " + r.Host + r.URL.Path}
@@ -83,6 +86,7 @@
 		return nil, refusal
 	}
 	call.Priority = route.PriorityOf(workspace)
+	call.Regions = nutmegview.LimitRegions(route, workspace)
 	if workspace != nil {
 		call.Workspace = workspace.Name
 		call.Metered = workspace.Metered
--- a/internal/instance/nutmegentry/items.go
+++ b/internal/instance/nutmegentry/items.go
@@ -15,21 +15,29 @@
 	itemCrashReport nutmegpeer.ItemKind = "crash_reports"
 	itemAcquittal   nutmegpeer.ItemKind = "acquittals"
 	itemNotice      nutmegpeer.ItemKind = "upstream_notices"
+	itemEvacuation  nutmegpeer.ItemKind = "evacuations"
 )
 
 // items returns the rules of the gossip items.
 func (e *Entry) items() map[nutmegpeer.ItemKind]nutmegpeer.ItemRule {
-	return map[nutmegpeer.ItemKind]nutmegpeer.ItemRule{
+	rules := map[nutmegpeer.ItemKind]nutmegpeer.ItemRule{
 		itemCrashReport: {MaxItems: maxCrashReports, MaxBytes: maxSuspectItemBytes, Urgent: true, OnItem: e.receiveReport},
 		itemAcquittal:   {MaxItems: maxAcquittals, MaxBytes: maxSuspectItemBytes, Urgent: true, OnItem: e.receiveAcquittal},
 		itemNotice:      {MaxItems: maxNoticeItems, MaxBytes: maxNoticeItemBytes, Urgent: true, OnItem: e.receiveStatement},
 	}
+	if e.evacuations != nil {
+		rules[itemEvacuation] = nutmegpeer.ItemRule{MaxItems: maxEvacuationItems, MaxBytes: maxEvacuationItemBytes, Urgent: true, OnItem: e.evacuations.receive}
+	}
+	return rules
 }
 
 // itemLifetime is how long instances keep the items of a kind.
 func itemLifetime(kind nutmegpeer.ItemKind) time.Duration {
-	if kind == itemNotice {
+	switch kind {
+	case itemNotice:
 		return noticeLifetime
+	case itemEvacuation:
+		return evacuationLifetime
 	}
 	return nutmegsuspect.ReportLifetime
 }
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -70,6 +70,7 @@
 	Workspace nutmegid.Workspace // empty on a public route
 	Metered   bool               // the workspace has a prepaid budget
 	Priority  int                // zero is the most urgent
+	Regions   nutmegview.RegionLimit
 	Prompt    Prompt
 
 	Method string
@@ -121,6 +122,8 @@
 	ReasonBudgetExhausted    Reason = "budget_exhausted"
 	ReasonBudgetUnreachable  Reason = "budget_unreachable"
 	ReasonNoUpstream         Reason = "no_upstream"
+	ReasonEvacuated          Reason = "evacuated"
+	ReasonRegionUnavailable  Reason = "region_unavailable"
 	ReasonOverloaded         Reason = "overloaded"
 	ReasonRateLimited        Reason = "rate_limited" // by the upstreams' own rate limits
 	ReasonRefusedByUpstreams Reason = "refused_by_upstreams"
--- a/internal/traffic/nutmegplace/defaults.go
+++ b/internal/traffic/nutmegplace/defaults.go
@@ -33,6 +33,7 @@
 	serviceQueueShare    = 3.0 // waiting requests allowed per slot of another upstream
 	overloadedRetryAfter = 250 * time.Millisecond
 	noUpstreamRetryAfter = 500 * time.Millisecond
+	closedRetryAfter     = time.Second // an evacuation ends, or a region comes back, after seconds at best
 	minHeldRetryAfter    = 50 * time.Millisecond
 	maxHeldSpread        = time.Second // by which callers return later than the end of a hold
 )
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -29,6 +29,7 @@
 type Config struct {
 	FailureDomain nutmegid.FailureDomain // of this instance
 	Seed          uint64                 // of the random number generator
+	Locations     Locations              // all are open when nil
 }
 
 // PickInfo holds the properties of a request that decide its placement.
@@ -36,6 +37,7 @@
 	Service nutmegview.Service
 	Prompt  nutmegcall.Prompt   // zero for services that are not inference engines
 	Exclude []nutmegid.Upstream // upstreams not to pick
+	Regions nutmegview.RegionLimit
 }
 
 // Placement assigns one request to an upstream. Pass it to Done when the request
@@ -63,6 +65,9 @@
 
 // New returns a Placer without upstreams.
 func New(cfg Config) *Placer {
+	if cfg.Locations == nil {
+		cfg.Locations = anywhere{}
+	}
 	return &Placer{
 		cfg:       cfg,
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
@@ -127,6 +132,9 @@
 		}
 	}
 	if len(usable) == 0 {
+		if refusal := p.closed(info); refusal != nil {
+			return nil, refusal
+		}
 		return nil, &nutmegcall.Refusal{
 			Reason: nutmegcall.ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter,
 			Detail: "no upstream of service " + string(info.Service) + " takes work",
@@ -166,7 +174,7 @@
 func (p *Placer) usable(info PickInfo, now time.Duration) (found []*candidate, heldUntil time.Duration) {
 	best := stateAvoided
 	for _, c := range p.byService[info.Service] {
-		if c.saidLeaving || slices.Contains(info.Exclude, c.ID) {
+		if c.saidLeaving || slices.Contains(info.Exclude, c.ID) || !p.Admits(c.Upstream, info) {
 			continue
 		}
 		if now < c.heldUntil {
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -120,9 +120,13 @@
 			return nil, refusal
 		}
 		permit := cfg.Notices.Permit(ctx, p.Upstream)
-		if permit.Granted {
+		if permit.Granted && cfg.Placer.Admits(p.Upstream, e.pickInfo()) {
 			return p, nil
 		}
+		if permit.Granted { // its failure domain was evacuated while the permit was asked for
+			e.withdraw(p)
+			continue
+		}
 		cfg.OnDecision(e.call, Decision{Kind: DecisionNotPermitted, Upstream: p.Upstream.ID, Attempt: e.attempts + 1, Detail: permit.Detail})
 		if permit.Leaving {
 			cfg.Placer.Leave(p, cfg.Elapsed())
@@ -136,8 +140,18 @@
 	}
 }
 
+// withdraw ends the placement of a request that may no longer run there.
+func (e *exchange) withdraw(p *nutmegplace.Placement) {
+	cfg := e.relay.cfg
+	cfg.Placer.Done(p, nutmegplace.ResultNeutral, cfg.Elapsed())
+	cfg.OnDecision(e.call, Decision{
+		Kind: DecisionWithdrawn, Upstream: p.Upstream.ID, Attempt: e.attempts + 1,
+		Detail: fmt.Sprintf("failure domain %q has been evacuated", p.Upstream.FailureDomain),
+	})
+}
+
 func (e *exchange) pickInfo() nutmegplace.PickInfo {
-	return nutmegplace.PickInfo{Service: e.call.Service, Prompt: e.call.Prompt, Exclude: e.exclude}
+	return nutmegplace.PickInfo{Service: e.call.Service, Prompt: e.call.Prompt, Exclude: e.exclude, Regions: e.call.Regions}
 }
 
 // mayRetryAfterRun reports whether the call may be retried or resumed although an
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -166,6 +166,8 @@
 	DecisionNotPermitted     DecisionKind = "not_permitted" // by what the upstream has stated
 	DecisionRetryBudgetSpent DecisionKind = "retry_budget_spent"
 	DecisionUpstreamEnded    DecisionKind = "upstream_ended" // while the request may have run there
+	// DecisionWithdrawn means that the request may no longer run where it was placed.
+	DecisionWithdrawn DecisionKind = "withdrawn"
 )
 
 // Config configures a Relay.
@@ -237,6 +239,9 @@
 	if refusal := e.checkHold(); refusal != nil {
 		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
 	}
+	if refusal := r.cfg.Placer.Closed(e.pickInfo()); refusal != nil {
+		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
+	}
 	if call.Metered && call.Prompt.MaxTokens() > 0 {
 		reservation, refusal := r.cfg.Budget.Reserve(ctx, call)
 		if refusal != nil {
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -81,5 +81,7 @@
 	maxLinkMbps          = 1e6
 	maxHomesPerDomain    = 1000 // instances in a failure domain that lease one budget
 	maxHomeDomains       = 1000
+	minEvacuationBound   = time.Second
+	maxEvacuationBound   = time.Minute
 	maxDescriptors       = 1 << 20
 )
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -15,7 +15,11 @@
 	Retries  EntryRetrySettings    `toml:"retries"`
 	Limits   EntryLimitSettings    `toml:"limits"`
 	Budget   EntryBudgetSettings   `toml:"budget"`
-	Log      LogSettings           `toml:"log"`
+	// Evacuation is empty where the operator evacuates no failure domains.
+	Evacuation EntryEvacuationSettings `toml:"evacuation"`
+	// Regions maps each failure domain to its region.
+	Regions map[nutmegid.FailureDomain]nutmegid.Region `toml:"regions"`
+	Log     LogSettings                                `toml:"log"`
 }
 
 // EntryInstanceSettings identify the instance and its location.
@@ -73,6 +77,13 @@
 	HomeDomains int `toml:"home_domains"`
 }
 
+// EntryEvacuationSettings control the evacuation of failure domains.
+type EntryEvacuationSettings struct {
+	// Bound is the time from the beginning of an evacuation until no instance sends any
+	// more requests to the failure domain; 0 if none is ever evacuated.
+	Bound Duration `toml:"bound"`
+}
+
 // Default entry settings.
 const (
 	// DefaultEntryHorizon is the span of spend that a lease covers.
@@ -157,6 +168,9 @@
 	c.between("budget.spread_tokens", float64(s.Budget.SpreadTokens), 1, maxTokens)
 	c.between("budget.homes_per_domain", float64(s.Budget.HomesPerDomain), 1, maxHomesPerDomain)
 	c.between("budget.home_domains", float64(s.Budget.HomeDomains), 0, maxHomeDomains)
+	if s.Evacuation.Bound != 0 {
+		c.between("evacuation.bound", time.Duration(s.Evacuation.Bound).Seconds(), minEvacuationBound.Seconds(), maxEvacuationBound.Seconds())
+	}
 	c.oneOf("log.level", s.Log.Level, "debug", "info", "warn", "error")
 	c.oneOf("log.format", s.Log.Format, "json")
 }
--- a/nutmegstore/watch.go
+++ b/nutmegstore/watch.go
@@ -94,6 +94,9 @@
 	Gap time.Duration
 	// Relayed means that another instance has read the changes and passed them on.
 	Relayed bool
+	// Listed means that all objects were listed: those that no batch has named since
+	// do not exist at StoreVersion.
+	Listed bool
 }
 
 // Follow calls fn with each existing object of a kind, each newer version and
@@ -120,6 +123,11 @@
 	Kind   string
 	Prefix string       // of the names of objects
 	Source ChangeSource // the client itself when nil; used only with a dialect that polls
+	// Wait is how long a poll waits for a change; pollTimeout when zero. A dead
+	// connection is noticed only after it.
+	Wait time.Duration
+	// Lists asks for a batch after each list, also if it brings no change.
+	Lists bool
 }
 
 // FollowBatches is like Follow, but passes changes that arrive together to fn in
@@ -128,6 +136,9 @@
 	if r.Source == nil {
 		r.Source = c
 	}
+	if r.Wait == 0 {
+		r.Wait = pollTimeout
+	}
 	f := follower{client: c, FollowRequest: r, fn: fn, known: make(map[string]nutmegid.Version)}
 	f.run(ctx)
 }
@@ -165,7 +176,7 @@
 		f.poll(ctx, storeVersion)
 		return
 	}
-	_ = f.client.Watch(ctx, f.Kind, f.Prefix, func(o Object) { f.deliver(Changes{Objects: []Object{o}}) })
+	_ = f.client.Watch(ctx, f.Kind, f.Prefix, func(o Object) { f.deliver(Changes{Objects: []Object{o}}, false) })
 	f.interrupted = ctx.Err() == nil
 }
 
@@ -175,7 +186,7 @@
 func (f *follower) poll(ctx context.Context, storeVersion nutmegid.Version) {
 	delay := minRewatchDelay
 	for ctx.Err() == nil {
-		changes, err := f.Source.Poll(ctx, f.Kind, storeVersion, pollTimeout)
+		changes, err := f.Source.Poll(ctx, f.Kind, storeVersion, f.Wait)
 		if IsKind(err, KindCompacted) {
 			f.client.count("store_compacted_watches")
 			return
@@ -190,7 +201,7 @@
 		}
 		delay = minRewatchDelay
 		storeVersion = changes.StoreVersion
-		f.deliver(changes)
+		f.deliver(changes, false)
 	}
 }
 
@@ -211,13 +222,13 @@
 			objects = append(objects, Object{Key: Key{Kind: f.Kind, Name: name}, Version: version, Deleted: true})
 		}
 	}
-	f.deliver(Changes{Objects: objects, StoreVersion: storeVersion})
+	f.deliver(Changes{Objects: objects, StoreVersion: storeVersion}, true)
 	return storeVersion, nil
 }
 
 // deliver passes on the objects that are newer than the known versions.
-func (f *follower) deliver(changes Changes) {
-	b := Batch{StoreVersion: changes.StoreVersion, Relayed: changes.Relayed}
+func (f *follower) deliver(changes Changes, listed bool) {
+	b := Batch{StoreVersion: changes.StoreVersion, Relayed: changes.Relayed, Listed: listed}
 	now := time.Now()
 	if f.interrupted && !f.lastSuccess.IsZero() {
 		b.Gap = now.Sub(f.lastSuccess)
@@ -228,7 +239,7 @@
 			b.Objects = append(b.Objects, o)
 		}
 	}
-	if len(b.Objects) > 0 || b.Gap > 0 {
+	if len(b.Objects) > 0 || b.Gap > 0 || listed && f.Lists {
 		f.fn(b)
 	}
 	f.interrupted = false
