placer: a load report may state how long work takes

Cause: upstreams of two deployments state a fourth figure in their load reports, how long work takes on their machine now. The codec took three figures or none, so that nothing was known of the load of these upstreams.

Change: the fourth figure is decoded (what is not a positive number counts as missing) and kept as Load.Slowdown, between 0.25 and 8. It multiplies the score, shortens the queue that counts as full, halves every 0.2 s and no longer counts after 1 s. Reports of three figures count as before.

--- a/internal/traffic/nutmegplace/candidate.go
+++ b/internal/traffic/nutmegplace/candidate.go
@@ -12,6 +12,9 @@
 	Running int
 	Waiting int
 	Slots   int // concurrent requests that it can run; zero if not reported
+	// Slowdown is how long work takes at the upstream's machine now, relative to
+	// its usual time; zero if not reported.
+	Slowdown float64
 }
 
 // candidate is an upstream with its load and health as seen by this instance.
@@ -25,6 +28,7 @@
 	otherRequests   float64 // requests from other instances, as of the last report
 	waitingRequests float64 // queued requests, as of the last report
 	reportedAt      time.Duration
+	slowdown        float64 // of the last report, within bounds; 1 if it stated none
 
 	saidLeaving      bool          // the process has said that it leaves
 	heldUntil        time.Duration // no request may be sent before, as the upstream has stated
@@ -63,11 +67,32 @@
 	c.otherRequests = math.Max(0, float64(l.Running+l.Waiting-c.outstanding))
 	c.waitingRequests = float64(l.Waiting)
 	c.reportedAt = now
+	c.slowdown = boundSlowdown(l.Slowdown)
 	if l.Slots > 0 {
 		c.Slots = l.Slots
 	}
 }
 
+// boundSlowdown limits what an upstream states, so that an odd value neither draws all
+// requests nor shuts the upstream out.
+func boundSlowdown(stated float64) float64 {
+	if !(stated > 0) { // not stated, or not a number
+		return 1
+	}
+	return min(max(stated, minSlowdown), maxSlowdown)
+}
+
+// currentSlowdown estimates how long work takes at the upstream now, relative to its
+// usual time. What was reported fades quickly: neighbours on the upstream's machine
+// come and go within a second.
+func (c *candidate) currentSlowdown(now time.Duration) float64 {
+	age := now - c.reportedAt
+	if c.slowdown == 0 || age > slowdownTTL {
+		return 1
+	}
+	return 1 + (c.slowdown-1)*math.Exp2(-float64(age)/float64(slowdownHalfLife))
+}
+
 // load estimates the number of requests at the upstream: the current ones from
 // this instance plus the reported ones from other instances, whose weight decays
 // with the age of the report.
@@ -170,7 +195,9 @@
 }
 
 // isFull reports whether all slots and the allowed queue of the upstream are
-// taken.
+// taken. The queue is shorter while the upstream is slow, so that the wait in it is
+// not longer.
 func (c *candidate) isFull(queueShare float64, now time.Duration) bool {
+	queueShare /= max(c.currentSlowdown(now), 1)
 	return c.Slots > 0 && c.load(now) >= float64(c.Slots)*(1+queueShare)
 }
--- a/internal/traffic/nutmegplace/defaults.go
+++ b/internal/traffic/nutmegplace/defaults.go
@@ -3,7 +3,12 @@
 import "time"
 
 const (
-	reportHalfLife = 500 * time.Millisecond // after which a load report counts half
+	reportHalfLife   = 500 * time.Millisecond // after which a load report counts half
+	slowdownHalfLife = 200 * time.Millisecond // after which a reported slowdown counts half
+	slowdownTTL      = time.Second            // after which it no longer counts
+	// Bounds of a reported slowdown.
+	minSlowdown = 0.25
+	maxSlowdown = 8.0
 	// An upstream with outstanding requests is silent after this time without a
 	// response or an event.
 	serviceSilence = 120 * time.Millisecond // upstreams that are not inference engines
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -239,7 +239,8 @@
 		prefill += cacheMissFactor * float64(shared) / prefillTokensPerMs
 	}
 	queued := float64(c.pending) / prefillTokensPerMs
-	return queued + prefill + runningDelayMs*c.load(now) + waitingDelayMs*c.waitingRequests*c.reportWeight(now)
+	usual := queued + prefill + runningDelayMs*c.load(now) + waitingDelayMs*c.waitingRequests*c.reportWeight(now)
+	return usual * c.currentSlowdown(now)
 }
 
 // leastLoaded returns the upstream with the lowest load per slot, or nil if all
@@ -253,7 +254,8 @@
 		if c.isFull(queueShare, now) {
 			continue
 		}
-		score := c.load(now)
+		load := c.load(now)
+		score := load + (load+1)*(c.currentSlowdown(now)-1) // the request itself takes longer, too
 		if c.FailureDomain != p.cfg.FailureDomain {
 			score += remotePenalty
 		}
--- a/internal/traffic/nutmegplace/placer_test.go
+++ b/internal/traffic/nutmegplace/placer_test.go
@@ -39,11 +39,16 @@
 
 func newTestPlacer(set *nutmegview.Upstreams) *Placer {
 	p := New(Config{FailureDomain: "0", Seed: 1})
-	p.SetConfig(&nutmegview.Config{Services: map[nutmegview.Service]nutmegview.ServiceConfig{engineService: {Engine: &nutmegview.Engine{}}, plainService: {}}})
+	p.SetConfig(engineConfig())
 	p.SetUpstreams(set)
 	return p
 }
 
+// engineConfig returns a configuration with both services.
+func engineConfig() *nutmegview.Config {
+	return &nutmegview.Config{Services: map[nutmegview.Service]nutmegview.ServiceConfig{engineService: {Engine: &nutmegview.Engine{}}, plainService: {}}}
+}
+
 // prompt returns a prompt whose first 5,000 tokens are shared by all prompts with
 // the same part.
 func prompt(part string, own int64) nutmegcall.Prompt {
