permits: a limit for cold upstreams that holds over each second

Cause: an upstream that has just started, or is back after an evacuation, is harmed by more requests a second than its service's configuration states; nothing limited them.

Change: nutmegwarmup decides which upstreams are cold; nutmegpermit keeps the fleet within the rate for them, with shares for a window of one second; the placer weighs cold upstreams and lets the share of those that were cold rise.

--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -41,6 +41,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegretry"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegwarmup"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
@@ -96,6 +97,7 @@
 	suspects         *nutmegsuspect.Tracker
 	suspectStore     *suspectStore
 	notices          *nutmegnotice.Tracker
+	warmup           *nutmegwarmup.Tracker
 	granter          *nutmegpermit.Granter
 	rateInformer     *rateInformer
 	relay            *nutmegrelay.Relay
@@ -137,6 +139,7 @@
 	e.overload = &overload{entry: e, done: make(chan struct{})}
 	e.buildSuspects()
 	e.buildNotices()
+	e.buildWarmup()
 	e.buildStore()
 	e.buildTraffic()
 	return e, nil
@@ -192,7 +195,7 @@
 	e.pool = nutmegconn.NewPool(nutmegconn.PoolConfig{
 		Dial: e.dialer.Dial, OnOpen: func() { opened.Inc(1) },
 	})
-	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64()})
+	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64(), Warmup: e.warmup})
 	e.retries = nutmegretry.NewBudget(nutmegretry.Config{
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
--- a/internal/instance/nutmegentry/notices.go
+++ b/internal/instance/nutmegentry/notices.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -55,27 +56,61 @@
 	if wait := e.notices.WaitEnd(u) - e.uptime(); wait > 0 {
 		return nutmegrelay.Permit{Wait: wait, Detail: fmt.Sprintf("the upstream has asked for no requests for another %d ms", wait.Milliseconds())}
 	}
-	limit, limited := e.notices.RateLimit(u)
+	request, limited := e.permitRequest(u)
 	if !limited {
 		return nutmegrelay.Permit{Granted: true}
 	}
-	age := e.uptime() - limit.HeardAt
-	home, reply, err := e.askPermit(ctx, nutmegpermit.Request{Process: u.Process(), Rate: limit.Rate, Age: age})
+	cold := request.Kind == nutmegpermit.LimitWarmup
+	home, reply, err := e.askPermit(ctx, request)
 	if err != nil {
 		e.count("permits_unanswered")
-		return nutmegrelay.Permit{Wait: permitRetryInterval, Detail: fmt.Sprintf("home %q of the limit of %g requests/s has not answered: %v", home, limit.Rate, err)}
+		return nutmegrelay.Permit{Cold: cold, Wait: permitRetryInterval, Detail: fmt.Sprintf("home %q of the limit of %g requests/s has not answered: %v", home, request.Rate, err)}
 	}
 	if !reply.Permitted {
 		e.count("permits_denied")
 		return nutmegrelay.Permit{
-			Wait:   reply.Wait,
-			Detail: fmt.Sprintf("home %q has no permit for %d ms: the limit is %g requests/s, heard %d ms ago", home, reply.Wait.Milliseconds(), limit.Rate, age.Milliseconds()),
+			Cold: cold, Wait: reply.Wait,
+			Detail: fmt.Sprintf("home %q has no permit for %d ms: the limit is %g requests/s, heard %d ms ago; cold %v", home, reply.Wait.Milliseconds(), request.Rate, request.Age.Milliseconds(), cold),
 		}
 	}
 	e.count("permits_granted")
 	return nutmegrelay.Permit{Granted: true}
 }
 
+// permitRequest returns the question for a permit, and false if the upstream has no
+// limit. Of two limits it asks for the lower one; the home heeds both.
+func (e *Entry) permitRequest(u nutmegview.Upstream) (nutmegpermit.Request, bool) {
+	now := e.uptime()
+	stated, limited := e.notices.RateLimit(u)
+	warmup, cold := e.warmup.Limit(u, now)
+	if cold && (!limited || warmup.Rate <= float64(stated.Rate)) {
+		return nutmegpermit.Request{
+			Process: u.Process(), Kind: nutmegpermit.LimitWarmup, Rate: nutmegnotice.Rate(warmup.Rate), Age: now - warmup.HeardAt,
+		}, true
+	}
+	return nutmegpermit.Request{Process: u.Process(), Rate: stated.Rate, Age: now - stated.HeardAt}, limited
+}
+
+// warmupSuffix marks the limit of a cold process among instances. The name of a process
+// ends in a number.
+const warmupSuffix = "/warmup"
+
+// limitName returns the name of a limit among instances.
+func limitName(r nutmegpermit.Request) string {
+	if r.Kind == nutmegpermit.LimitWarmup {
+		return string(r.Process) + warmupSuffix
+	}
+	return string(r.Process)
+}
+
+// parseLimitName returns the process and the kind of a limit.
+func parseLimitName(name string) (nutmegview.Process, nutmegpermit.LimitKind) {
+	if process, ok := strings.CutSuffix(name, warmupSuffix); ok {
+		return nutmegview.Process(process), nutmegpermit.LimitWarmup
+	}
+	return nutmegview.Process(name), nutmegpermit.LimitStated
+}
+
 // askPermit asks the home of a limit, which may be this instance.
 func (e *Entry) askPermit(ctx context.Context, r nutmegpermit.Request) (string, nutmegpermit.Reply, error) {
 	home, ok := e.roster.PermitHome(r.Process)
@@ -88,7 +123,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, permitTimeout)
 	defer cancel()
-	reply, err := e.roster.Permit(ctx, home, nutmegpeer.PermitRequest{Process: string(r.Process), Rate: float64(r.Rate), Age: r.Age, Inform: r.Inform})
+	reply, err := e.roster.Permit(ctx, home, nutmegpeer.PermitRequest{Process: limitName(r), Rate: float64(r.Rate), Age: r.Age, Inform: r.Inform})
 	return name, nutmegpermit.Reply(reply), err
 }
 
@@ -105,8 +140,9 @@
 
 // Permit implements nutmegpeer.PermitHandler.
 func (s permitServer) Permit(req nutmegpeer.PermitRequest) nutmegpeer.PermitReply {
+	process, kind := parseLimitName(req.Process)
 	reply := s.entry.grantPermit(nutmegpermit.Request{
-		Process: nutmegview.Process(req.Process), Rate: nutmegnotice.Rate(req.Rate), Age: req.Age, Inform: req.Inform,
+		Process: process, Kind: kind, Rate: nutmegnotice.Rate(req.Rate), Age: req.Age, Inform: req.Inform,
 	})
 	s.entry.count("permits_asked_by_peers")
 	return nutmegpeer.PermitReply(reply)
--- a/internal/traffic/nutmegpermit/defaults.go
+++ b/internal/traffic/nutmegpermit/defaults.go
@@ -16,8 +16,9 @@
 	homeCount = 2 // homes of one limit, in order
 
 	// The shares of homes: a first one and another one together stay within one and a
-	// half times the stated rate, also when requests arrive late in bursts. With two
-	// others that holds only for rates of up to 3 requests per second.
+	// half times the rate, also when requests arrive late in bursts. With two others
+	// that holds only for rates of up to 3 requests per second that are stated, and of
+	// up to 19 to cold processes.
 	firstRate      = 0.9
 	firstBurst     = 1.5
 	firstRateBurst = 0.2
@@ -25,6 +26,17 @@
 	otherBurst     = 1.0
 	otherRateBurst = 0.05
 
+	// The shares of limits that hold over each second, in which late requests weigh
+	// more.
+	firstWarmupRate      = 0.65
+	firstWarmupRateBurst = 0.05
+	otherWarmupRate      = 0.1
+	otherWarmupRateBurst = 0.02
+
+	// limitMemory is how long a limit of a process binds requests of instances that do
+	// not know it, since the last request by one that does.
+	limitMemory = 2 * time.Second
+
 	// minRate is permitted also if an upstream states less, so that it is noticed when
 	// it takes requests again. In requests per second.
 	minRate = 0.05
--- a/internal/traffic/nutmegpermit/granter.go
+++ b/internal/traffic/nutmegpermit/granter.go
@@ -1,6 +1,7 @@
 package nutmegpermit
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -16,13 +17,20 @@
 
 // bucket holds the permits for one process.
 type bucket struct {
-	stated  float64       // rate that the process has stated, in requests per second
-	heardAt time.Duration // when it has stated that
+	limits  [limitKinds]limit
 	permits float64       // that are left
 	booked  float64       // denied requests for permits that are to come back, each for one permit
 	at      time.Duration // of permits and booked
 }
 
+// limit is what a home knows of one limit of a process.
+type limit struct {
+	rate    float64       // requests per second
+	heardAt time.Duration // when an asker learned of that rate
+	askedAt time.Duration // latest request by an instance that knows the limit
+	known   bool
+}
+
 // NewGranter returns a Granter that has permitted nothing yet.
 func NewGranter() *Granter {
 	return &Granter{buckets: make(map[nutmegview.Process]*bucket)}
@@ -34,9 +42,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	b := g.bucket(r, now)
-	b.learn(r, now)
-	rate := max(b.stated, minRate) * s.rate
-	b.refill(rate, s.burst+s.rateBurst*b.stated, now)
+	b.limits[r.Kind].learn(r, now)
+	rate, burst := b.share(s, now)
+	b.refill(rate, burst, now)
 	if r.Inform {
 		return Reply{}
 	}
@@ -54,7 +62,7 @@
 	b, known := g.buckets[r.Process]
 	if !known {
 		g.makeRoom(now)
-		b = &bucket{stated: float64(r.Rate), heardAt: now - r.Age, at: now}
+		b = &bucket{at: now}
 		g.buckets[r.Process] = b
 	}
 	return b
@@ -82,11 +90,27 @@
 }
 
 // learn takes over the rate that an asker knows, if it has heard it later.
-func (b *bucket) learn(r Request, now time.Duration) {
-	if heardAt := now - r.Age; heardAt >= b.heardAt {
-		b.stated = float64(r.Rate)
-		b.heardAt = heardAt
+func (l *limit) learn(r Request, now time.Duration) {
+	if heardAt := now - r.Age; !l.known || heardAt >= l.heardAt {
+		l.rate = float64(r.Rate)
+		l.heardAt = heardAt
+	}
+	l.known = true
+	l.askedAt = now
+}
+
+// share returns the rate and the burst that a home may permit: the lower ones of all
+// limits that bind.
+func (b *bucket) share(s Share, now time.Duration) (rate, burst float64) {
+	rate, burst = math.Inf(1), math.Inf(1)
+	for kind, l := range b.limits {
+		if !l.known || now-l.askedAt > limitMemory {
+			continue
+		}
+		rate = min(rate, max(l.rate, minRate)*s[kind].rate)
+		burst = min(burst, s[kind].burst+s[kind].rateBurst*l.rate)
 	}
+	return rate, burst
 }
 
 // refill adds the permits of the time that has passed.
--- a/internal/traffic/nutmegpermit/model_test.go
+++ b/internal/traffic/nutmegpermit/model_test.go
@@ -12,11 +12,14 @@
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
-// The users' bound on requests to an upstream that states a rate limit.
+// statedBound is for an upstream that states a rate limit, coldBound for a cold one.
+var (
+	statedBound = bound{window: window, factor: 1.5, allowance: 5}
+	coldBound   = bound{window: time.Second, factor: 1.5, allowance: 5}
+)
+
 const (
-	window    = 4 * time.Second
-	factor    = 1.5                    // times what the limit allows in a window
-	allowance = 5                      // further requests in a window
+	window    = 4 * time.Second        // of statedBound
 	settling  = 3 * time.Second        // from the first answer that states the limit
 	toldDelay = 500 * time.Millisecond // until an instance is bound by an answer that it has had
 	// usedShare is the least share of a limit that is used while callers are refused,
@@ -45,8 +48,18 @@
 	excusedAfter  = window + time.Second // of a disturbed instance, from its end
 	changeOfLimit = 20 * time.Second     // mean time between two, of one upstream
 	spreadTime    = 3 * time.Second      // the longest time until an instance learns of a limit from others
+	coldTime      = 3 * time.Second      // of an upstream
+	coldInterval  = 9 * time.Second      // mean time between two cold times of one upstream
+	allColdAt     = 40 * time.Second     // when all upstreams turn cold at once
 )
 
+// bound is the users' bound on requests to an upstream with a limit.
+type bound struct {
+	window    time.Duration
+	factor    float64 // times what the limit allows in a window
+	allowance float64 // further requests in a window
+}
+
 // modelConfig describes a fleet and its load.
 type modelConfig struct {
 	seed      uint64
@@ -58,6 +71,15 @@
 	alone     bool // each instance counts for itself
 	divided   bool // instances join while half of the others do not reach the store
 	spread    bool // instances tell each other of limits; all requests count, whoever sends them
+	cold      bool // the limits hold for cold upstreams only, which state nothing
+	overstate bool // instances take the limits for three times as high
+}
+
+func (c modelConfig) bound() bound {
+	if c.cold {
+		return coldBound
+	}
+	return statedBound
 }
 
 // modelResult counts what happened.
@@ -129,6 +151,8 @@
 	arrivals []time.Duration
 	limits   []limitSpan
 	served   int
+	coldFrom time.Duration // start of the latest cold time
+	coldTo   time.Duration // its end; zero if there was none
 }
 
 // limitSpan is a limit from some time on.
@@ -231,6 +255,12 @@
 	if m.cfg.divided {
 		m.after(divideAt, m.divide)
 	}
+	if m.cfg.cold {
+		m.after(allColdAt, m.coolAll)
+		for _, u := range m.upstreams {
+			m.after(m.exponential(coldInterval), func() { m.coolAgain(u) })
+		}
+	}
 	if m.cfg.changing {
 		for _, u := range m.upstreams {
 			m.after(m.exponential(changeOfLimit), func() { m.changeLimit(u) })
@@ -269,13 +299,13 @@
 		return
 	}
 	u := usable[m.random.IntN(len(usable))]
-	limit, limited := i.notices.RateLimit(u.entry)
+	request, limited := m.request(i, u)
 	if !limited {
 		m.send(i, u)
 		return
 	}
 	tried = append(slices.Clone(tried), u.number)
-	m.ask(i, Request{Process: u.entry.Process(), Rate: limit.Rate, Age: m.now - limit.HeardAt}, func(r Reply) {
+	m.ask(i, request, func(r Reply) {
 		if r.Permitted {
 			m.send(i, u)
 			return
@@ -285,6 +315,21 @@
 	})
 }
 
+// request returns the question for a permit, and false if the instance knows no limit.
+func (m *model) request(i *modelInstance, u *modelUpstream) (Request, bool) {
+	process := u.entry.Process()
+	if m.cfg.cold {
+		told, known := i.told[u.number]
+		rate := nutmegnotice.Rate(u.limit)
+		if m.cfg.overstate {
+			rate *= 3
+		}
+		return Request{Process: process, Kind: LimitWarmup, Rate: rate, Age: m.now - told}, known && m.now < u.coldTo
+	}
+	limit, limited := i.notices.RateLimit(u.entry)
+	return Request{Process: process, Rate: limit.Rate, Age: m.now - limit.HeardAt}, limited
+}
+
 // ask asks the home of an upstream's limit.
 func (m *model) ask(i *modelInstance, r Request, done func(Reply)) {
 	home := m.home(i, r.Process)
@@ -366,8 +411,9 @@
 		delay += m.jitter(lateArrival)
 	}
 	asker := i.startedAt
+	sentAt := m.now
 	m.after(delay, func() {
-		if m.counts(i, u) {
+		if m.counts(i, u, sentAt) {
 			u.arrivals = append(u.arrivals, m.now)
 		}
 		u.served++
@@ -381,7 +427,11 @@
 }
 
 // counts reports whether a request that arrives now counts.
-func (m *model) counts(i *modelInstance, u *modelUpstream) bool {
+func (m *model) counts(i *modelInstance, u *modelUpstream, sentAt time.Duration) bool {
+	if m.cfg.cold {
+		told, known := i.told[u.number]
+		return known && sentAt >= told && m.now < u.coldTo
+	}
 	if u.first < 0 || m.now-u.first < settling {
 		return false
 	}
@@ -394,6 +444,9 @@
 
 func (m *model) answer(i *modelInstance, u *modelUpstream, limit float64) {
 	n := nutmegnotice.Notice{Success: true}
+	if m.cfg.cold {
+		return
+	}
 	if limit > 0 {
 		rate := nutmegnotice.Rate(limit)
 		n.RateLimit = &rate
@@ -416,6 +469,7 @@
 	switch m.random.IntN(4) {
 	case 0:
 		m.start(i, m.now)
+		m.readColdTimes(i)
 		i.excused = m.now + excusedAfter
 	case 1:
 		i.frozen = m.now + freezeTime
@@ -458,16 +512,17 @@
 func (m *model) judge() {
 	limits := 0.0
 	served := 0
-	m.result.excess = -allowance
+	b := m.cfg.bound()
+	m.result.excess = -b.allowance
 	for _, u := range m.upstreams {
 		limits += u.limit * modelLength.Seconds()
 		served += u.served
 		first := 0
 		for last, at := range u.arrivals {
-			for at-u.arrivals[first] > window {
+			for at-u.arrivals[first] > b.window {
 				first++
 			}
-			if over := float64(last-first+1) - factor*u.allowed(at) - allowance; over > m.result.excess {
+			if over := float64(last-first+1) - b.factor*u.allowed(at, b.window) - b.allowance; over > m.result.excess {
 				m.result.excess, m.result.upstream, m.result.at = over, u.number, at
 			}
 		}
@@ -477,7 +532,7 @@
 
 // allowed returns what the limits allow in the window that ends at the time given.
 // The limit before a change counts for half a second more.
-func (u *modelUpstream) allowed(end time.Duration) float64 {
+func (u *modelUpstream) allowed(end, window time.Duration) float64 {
 	sum := 0.0
 	for at := end - window; at < end; at += modelTick {
 		sum += max(u.limitAt(at), u.limitAt(at-toldDelay)) * modelTick.Seconds()
--- a/internal/traffic/nutmegplace/candidate.go
+++ b/internal/traffic/nutmegplace/candidate.go
@@ -106,6 +106,7 @@
 // The states of a candidate, in order of preference.
 const (
 	stateHealthy = iota
+	stateSpared  // healthy, but it has to be spared after its start
 	stateSilent
 	stateAvoided
 )
--- a/internal/traffic/nutmegplace/defaults.go
+++ b/internal/traffic/nutmegplace/defaults.go
@@ -25,6 +25,10 @@
 	randomCandidates   = 2    // random engines compared with those that may have the prefix cached
 	preferredEngines   = 2    // engines that rendezvous hashing assigns to a prefix
 
+	// A cold upstream is slow, and asking for a permit takes a while.
+	coldDelayMs = 50.0 // added to the time to first event of an engine
+	coldLoad    = 1.0  // requests added to the load of another upstream
+
 	prefixTTL     = 9 * time.Second // since the last use of a prefix
 	maxPrefixes   = 20_000          // prefixes whose location is remembered
 	remotePenalty = 0.1             // requests added to the load of an upstream in another failure domain
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -22,6 +22,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegrendezvous"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegwarmup"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
@@ -29,6 +30,20 @@
 type Config struct {
 	FailureDomain nutmegid.FailureDomain // of this instance
 	Seed          uint64                 // of the random number generator
+	Warmup        Warmup                 // no upstream is spared when nil
+}
+
+// Warmup says which upstreams have to be spared after their start.
+type Warmup interface {
+	State(u nutmegview.Upstream, now time.Duration) nutmegwarmup.State
+}
+
+// noWarmup spares no upstream.
+type noWarmup struct{}
+
+// State implements Warmup.
+func (noWarmup) State(nutmegview.Upstream, time.Duration) nutmegwarmup.State {
+	return nutmegwarmup.State{Share: 1}
 }
 
 // PickInfo holds the properties of a request that decide its placement.
@@ -36,6 +51,9 @@
 	Service nutmegview.Service
 	Prompt  nutmegcall.Prompt   // zero for services that are not inference engines
 	Exclude []nutmegid.Upstream // upstreams not to pick
+	// AvoidCold asks for an upstream that is not cold, if there is one: a cold one has
+	// just denied the request.
+	AvoidCold bool
 }
 
 // Placement assigns one request to an upstream. Pass it to Done when the request
@@ -63,6 +81,9 @@
 
 // New returns a Placer without upstreams.
 func New(cfg Config) *Placer {
+	if cfg.Warmup == nil {
+		cfg.Warmup = noWarmup{}
+	}
 	return &Placer{
 		cfg:       cfg,
 		random:    rand.New(rand.NewPCG(cfg.Seed, cfg.Seed)),
@@ -119,31 +140,14 @@
 func (p *Placer) Pick(info PickInfo, now time.Duration) (*Placement, *nutmegcall.Refusal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	usable, heldUntil := p.usable(info, now)
-	if len(usable) == 0 && heldUntil > 0 {
-		return nil, &nutmegcall.Refusal{
-			Reason: nutmegcall.ReasonRateLimited, RetryAfter: p.spread(heldUntil - now),
-			Detail: "all usable upstreams of service " + string(info.Service) + " have had as many requests as they take",
-		}
-	}
-	if len(usable) == 0 {
-		return nil, &nutmegcall.Refusal{
-			Reason: nutmegcall.ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter,
-			Detail: "no upstream of service " + string(info.Service) + " takes work",
-		}
-	}
-	var best *candidate
-	cached := false
-	if p.engines[info.Service] {
-		best, cached = p.pickEngine(info, usable, now)
-	} else {
-		best = p.leastLoaded(usable, serviceQueueShare, now)
+	usable, heldUntil, spared := p.usable(info, true, now)
+	best, cached := p.pickAmong(info, usable, now)
+	if best == nil && spared {
+		usable, heldUntil, _ = p.usable(info, false, now)
+		best, cached = p.pickAmong(info, usable, now)
 	}
 	if best == nil {
-		return nil, &nutmegcall.Refusal{
-			Reason: nutmegcall.ReasonOverloaded, RetryAfter: overloadedRetryAfter,
-			Detail: "all upstreams of service " + string(info.Service) + " are full",
-		}
+		return nil, p.refuse(info, len(usable), heldUntil, now)
 	}
 	pl := &Placement{Upstream: best.Upstream, candidate: best, tokens: p.uncachedTokens(info, cached)}
 	best.startRequest(pl.tokens, now)
@@ -153,6 +157,38 @@
 	return pl, nil
 }
 
+// pickAmong returns the best of some upstreams, and whether it is expected to have the
+// shared prefix cached. It returns nil if all are full.
+func (p *Placer) pickAmong(info PickInfo, usable []*candidate, now time.Duration) (*candidate, bool) {
+	switch {
+	case len(usable) == 0:
+		return nil, false
+	case p.engines[info.Service]:
+		return p.pickEngine(info, usable, now)
+	}
+	return p.leastLoaded(usable, serviceQueueShare, now), false
+}
+
+// refuse returns the refusal of a request for which there is no upstream.
+func (p *Placer) refuse(info PickInfo, usable int, heldUntil, now time.Duration) *nutmegcall.Refusal {
+	switch {
+	case usable > 0:
+		return &nutmegcall.Refusal{
+			Reason: nutmegcall.ReasonOverloaded, RetryAfter: overloadedRetryAfter,
+			Detail: "all upstreams of service " + string(info.Service) + " are full",
+		}
+	case heldUntil > 0:
+		return &nutmegcall.Refusal{
+			Reason: nutmegcall.ReasonRateLimited, RetryAfter: p.spread(heldUntil - now),
+			Detail: "all usable upstreams of service " + string(info.Service) + " have had as many requests as they take",
+		}
+	}
+	return &nutmegcall.Refusal{
+		Reason: nutmegcall.ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter,
+		Detail: "no upstream of service " + string(info.Service) + " takes work",
+	}
+}
+
 // spread extends a wait by up to its own length, but not by long, so that callers do
 // not all return at once.
 func (p *Placer) spread(wait time.Duration) time.Duration {
@@ -162,8 +198,8 @@
 
 // usable returns the candidates that share the best available state. Without those
 // that are held, heldUntil is the time at which the first hold ends; zero if there
-// is none.
-func (p *Placer) usable(info PickInfo, now time.Duration) (found []*candidate, heldUntil time.Duration) {
+// is none. Upstreams are spared only if spare is set, and spared says whether one was.
+func (p *Placer) usable(info PickInfo, spare bool, now time.Duration) (found []*candidate, heldUntil time.Duration, spared bool) {
 	best := stateAvoided
 	for _, c := range p.byService[info.Service] {
 		if c.saidLeaving || slices.Contains(info.Exclude, c.ID) {
@@ -176,6 +212,10 @@
 			continue
 		}
 		state := c.state(now)
+		if state == stateHealthy && spare && p.mustSpare(c, info, now) {
+			state = stateSpared
+			spared = true
+		}
 		if state < best {
 			best = state
 			found = found[:0]
@@ -184,7 +224,18 @@
 			found = append(found, c)
 		}
 	}
-	return found, heldUntil
+	return found, heldUntil, spared
+}
+
+// mustSpare decides whether a request goes to other upstreams, if there are any: one
+// that was cold gets a rising share of the requests, so that not all go where nothing
+// else is running.
+func (p *Placer) mustSpare(c *candidate, info PickInfo, now time.Duration) bool {
+	state := p.cfg.Warmup.State(c.Upstream, now)
+	if state.Cold {
+		return info.AvoidCold
+	}
+	return state.Share < 1 && p.random.Float64() >= state.Share
 }
 
 // uncachedTokens returns the number of prompt tokens that the engine has to
@@ -238,6 +289,9 @@
 	if !cached {
 		prefill += cacheMissFactor * float64(shared) / prefillTokensPerMs
 	}
+	if p.cfg.Warmup.State(c.Upstream, now).Cold {
+		prefill += coldDelayMs
+	}
 	queued := float64(c.pending) / prefillTokensPerMs
 	return queued + prefill + runningDelayMs*c.load(now) + waitingDelayMs*c.waitingRequests*c.reportWeight(now)
 }
@@ -257,6 +311,9 @@
 		if c.FailureDomain != p.cfg.FailureDomain {
 			score += remotePenalty
 		}
+		if p.cfg.Warmup.State(c.Upstream, now).Cold {
+			score += coldLoad
+		}
 		score /= float64(max(c.Slots, 1))
 		if best == nil || score < bestScore {
 			best, bestScore = c, score
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -114,8 +114,9 @@
 // place picks an upstream that permits the request.
 func (e *exchange) place(ctx context.Context) (*nutmegplace.Placement, *nutmegcall.Refusal) {
 	cfg := e.relay.cfg
+	info := e.pickInfo()
 	for denied := 0; ; {
-		p, refusal := cfg.Placer.Pick(e.pickInfo(), cfg.Elapsed())
+		p, refusal := cfg.Placer.Pick(info, cfg.Elapsed())
 		if refusal != nil {
 			return nil, refusal
 		}
@@ -129,6 +130,7 @@
 			continue
 		}
 		cfg.Placer.Hold(p, permit.Wait, cfg.Elapsed())
+		info.AvoidCold = info.AvoidCold || permit.Cold
 		denied++
 		if denied == maxPermitRequests || ctx.Err() != nil {
 			return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonRateLimited, RetryAfter: permit.Wait, Detail: permit.Detail}
--- a/internal/traffic/nutmegrelay/notices_test.go
+++ b/internal/traffic/nutmegrelay/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -9,6 +10,8 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegwarmup"
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
@@ -21,6 +24,7 @@
 	asked     map[nutmegid.Upstream]int
 	recorded  []nutmegid.Upstream
 	onAsk     func()
+	cold      map[nutmegid.Upstream]bool
 }
 
 func (l *fakeNotices) Record(_ *nutmegcall.Call, u nutmegview.Upstream, _ nutmegnotice.Notice) {
@@ -32,7 +36,7 @@
 	if l.onAsk != nil {
 		l.onAsk()
 	}
-	return Permit{Granted: l.permitted[u.ID], Leaving: l.leaving[u.ID], Wait: permitWait, Detail: "none is left"}
+	return Permit{Granted: l.permitted[u.ID], Leaving: l.leaving[u.ID], Cold: l.cold[u.ID], Wait: permitWait, Detail: "none is left"}
 }
 
 func (l *fakeNotices) IsLeaving(u nutmegview.Upstream) bool {
@@ -123,6 +127,40 @@
 	}
 }
 
+// coldUpstreams says which upstreams are cold.
+type coldUpstreams map[nutmegid.Upstream]bool
+
+// State implements nutmegplace.Warmup.
+func (c coldUpstreams) State(u nutmegview.Upstream, _ time.Duration) nutmegwarmup.State {
+	return nutmegwarmup.State{Cold: c[u.ID], Share: 1}
+}
+
+// TestDeniedByAColdUpstreamGoesToAWarmOne guards against callers that are refused, or
+// wait for many questions, while most upstreams are cold and one is not.
+func TestDeniedByAColdUpstreamGoesToAWarmOne(t *testing.T) {
+	handlers := make([]http.HandlerFunc, 2*maxPermitRequests)
+	cold := make(coldUpstreams)
+	for n := range handlers {
+		handlers[n] = text("a")
+		cold[nutmegid.Upstream(fmt.Sprint("u", n))] = n > 0
+	}
+	f, limits := limitedFleet(t, []nutmegid.Upstream{"u0"}, handlers...)
+	limits.cold = cold
+	placer := nutmegplace.New(nutmegplace.Config{Seed: 1, Warmup: cold})
+	placer.SetUpstreams(f.view.Upstreams())
+	f.relay.cfg.Placer = placer
+	for range 20 {
+		clear(limits.asked)
+		outcome, refusal := f.relay.Serve(t.Context(), newCall(nonIdempotent), &recorder{})
+		if refusal != nil || outcome.Upstream != "u0" {
+			t.Fatalf("outcome %+v, refusal %v; want an answer of the warm upstream", outcome, refusal)
+		}
+		if len(limits.asked) > 2 {
+			t.Errorf("asked %v; want at most one cold upstream", limits.asked)
+		}
+	}
+}
+
 // TestCallerThatLeavesWhileAPermitIsAskedFor guards against callers that have left and
 // count as refused.
 func TestCallerThatLeavesWhileAPermitIsAskedFor(t *testing.T) {
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -116,6 +116,7 @@
 type Permit struct {
 	Granted bool
 	Leaving bool          // the upstream takes no new requests until its process ends
+	Cold    bool          // denied because the upstream is cold; others may be as well
 	Wait    time.Duration // until it makes sense to ask again; only if both are false
 	Detail  string        // the reason, for logs
 }
