peers: a call that ends by itself no longer looks like a broken peer

Cause: a call that is canceled, or times out, between the begin of its stream and the sending of its message returns DRPC's EOF.

Change: the error of such a call holds the end of its context.

--- a/nutmegpeer/conn.go
+++ b/nutmegpeer/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -42,11 +43,21 @@
 	if err := c.dial(ctx); err != nil {
 		return err
 	}
-	err := fn(ctx, peerpb.NewDRPCPeerClient(c.drpc))
-	if err != nil {
+	if err := fn(ctx, peerpb.NewDRPCPeerClient(c.drpc)); err != nil {
 		c.disconnect()
+		return callError(ctx, err)
+	}
+	return nil
+}
+
+// callError adds the end of ctx to the error of a call that it has ended. DRPC reports
+// such a call as EOF if it had not sent its message yet, which looks like a broken peer.
+func callError(ctx context.Context, err error) error {
+	ended := ctx.Err()
+	if ended == nil || errors.Is(err, ended) {
+		return err
 	}
-	return err
+	return fmt.Errorf("%w: %w", ended, err)
 }
 
 // tryAcquire acquires c unless a call is running on it.
