--- a/internal/traffic/nutmegwarmup/defaults.go
+++ b/internal/traffic/nutmegwarmup/defaults.go
@@ -11,5 +11,5 @@
 	retention = time.Minute
 	// firstShare is the share of its usual requests that an upstream gets right after
 	// its cold time. It rises to 1 within the service's WarmupTime.
-	firstShare = 0.1
+	firstShare = 0.4
 )
