cold upstreams: an upstream that is listed again gets a rising share

Cause: after an outage of the store the entries of all upstreams may have lapsed and come back; counting all of them as cold would refuse callers. Their entries are fresh ones and say whether they are cold.

Change: only the share of such an upstream rises anew.

--- a/internal/traffic/nutmegwarmup/tracker.go
+++ b/internal/traffic/nutmegwarmup/tracker.go
@@ -33,7 +33,8 @@
 	listed   bool
 	reported bool // the latest cold time was reported, and its end was not
 
-	// The latest cold time; until is zero if there was none.
+	// The latest cold time; until is zero if there was none. From then on the share of
+	// the upstream rises.
 	source  Source
 	heardAt time.Duration
 	until   time.Duration
@@ -124,7 +125,7 @@
 	case u.Process() != before.Process() || stated > 0 && stated != before.WarmupRemaining:
 		return t.start(r, SourceEntry, stated, now)
 	case !wasListed:
-		return t.start(r, SourceReappeared, t.services[u.Service].WarmupTime, now)
+		t.spare(r, now)
 	case stated == 0 && before.WarmupRemaining > 0:
 		return t.end(r, now)
 	}
@@ -147,6 +148,13 @@
 	return t.change(r, true, ""), true
 }
 
+// spare lets the share of an upstream rise anew. Its entry is a fresh one, which would say
+// if the upstream were cold.
+func (t *Tracker) spare(r *record, now time.Duration) {
+	r.until = max(r.until, now)
+	t.extendActivity(r)
+}
+
 // end ends a cold time because the upstream's entry says so.
 func (t *Tracker) end(r *record, now time.Duration) (Change, bool) {
 	r.until = min(r.until, now)
--- a/internal/traffic/nutmegwarmup/warmup.go
+++ b/internal/traffic/nutmegwarmup/warmup.go
@@ -3,8 +3,8 @@
 //
 // An upstream's entry says how long it stays cold. Where an entry cannot say so yet,
 // the upstream counts as cold for the service's WarmupTime, unless a later entry says
-// otherwise: after its entry was gone, as a new process under a known id, and after
-// the evacuation of its failure domain. A cold time ends by itself. Afterwards the
+// otherwise: as a new process under a known id, and after the evacuation of its failure
+// domain. A cold time ends by itself. Afterwards, and after its entry was gone, the
 // share of requests that the upstream may get rises by degrees.
 //
 // Services whose WarmupRate is zero have no cold upstreams.
@@ -36,7 +36,6 @@
 const (
 	SourceEntry      Source = "entry"            // its entry says so
 	SourceNewProcess Source = "new_process"      // another process has its id now
-	SourceReappeared Source = "reappeared"       // its entry was gone for a time
 	SourceEvacuation Source = "evacuation_ended" // of its failure domain
 )
 
