permits: a home of each rate limit outside the failure domain of the others

Cause: both homes of a limit could be in one failure domain. When it is lost for good, nobody permits requests to the upstreams concerned, a ninth of them in a fleet of three domains.

Change: where the first two homes are in one domain, a third one in another follows; it is asked only while both do not answer.

--- a/internal/traffic/nutmegpermit/permit.go
+++ b/internal/traffic/nutmegpermit/permit.go
@@ -21,6 +21,7 @@
 package nutmegpermit
 
 import (
+	"slices"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegrendezvous"
@@ -59,8 +60,18 @@
 }
 
 // Homes returns the instances that may be the home of a process's limit, in order of
-// preference. The second one is asked while the first does not answer.
+// preference. A later one is asked while those before it do not answer. Where the first
+// ones are in one failure domain, another one follows: the domain may be lost.
 func Homes(p nutmegview.Process, instances []*nutmegview.Instance) []*nutmegview.Instance {
 	name := func(i *nutmegview.Instance) string { return string(i.Name) }
-	return nutmegrendezvous.Rank(string(p), instances, name, homeCount)
+	ranked := nutmegrendezvous.Rank(string(p), instances, name, len(instances))
+	homes := ranked[:min(homeCount, len(ranked))]
+	elsewhere := func(i *nutmegview.Instance) bool { return i.FailureDomain != homes[0].FailureDomain }
+	if slices.ContainsFunc(homes, elsewhere) {
+		return homes
+	}
+	if next := slices.IndexFunc(ranked, elsewhere); next >= 0 {
+		return append(slices.Clip(homes), ranked[next])
+	}
+	return homes
 }
