--- a/internal/fleet/nutmegfeed/feed_test.go
+++ b/internal/fleet/nutmegfeed/feed_test.go
@@ -108,6 +108,7 @@
 type member struct {
 	name string
 	feed *Feed
+	wait time.Duration // of its polls
 	done chan struct{}
 
 	mu      sync.Mutex
@@ -129,7 +130,7 @@
 func newDomain(size int) *domain {
 	d := &domain{store: newFakeStore(), silent: make(map[string]bool), cut: make(map[string]bool)}
 	for i := range size {
-		m := &member{name: fmt.Sprint("i", i), done: make(chan struct{}), objects: make(map[string]string), latest: make(map[string]nutmegid.Version)}
+		m := &member{name: fmt.Sprint("i", i), wait: 1200 * time.Millisecond, done: make(chan struct{}), objects: make(map[string]string), latest: make(map[string]nutmegid.Version)}
 		m.feed = New(Config{
 			Kind: testKind, Store: storeOf{d.store, m.name}, Fetch: d.fetch, MaxAge: func() time.Duration { return FeederWait + 400*time.Millisecond },
 			Sources: func(skip func(nutmegid.Incarnation) bool) Sources { return d.sources(i, skip) },
@@ -189,7 +190,7 @@
 	defer close(m.done)
 	since := nutmegid.Version(1)
 	for ctx.Err() == nil {
-		changes, err := m.feed.Poll(ctx, testKind, since, 1200*time.Millisecond)
+		changes, err := m.feed.Poll(ctx, testKind, since, m.wait)
 		if err != nil {
 			time.Sleep(100 * time.Millisecond)
 			continue
@@ -223,9 +224,18 @@
 
 // runDomain runs all members while test runs.
 func runDomain(t *testing.T, size int, test func(t *testing.T, d *domain)) {
+	t.Helper()
+	runDomainWith(t, size, func(*member) {}, test)
+}
+
+// runDomainWith runs all members, each of which was changed before, while test runs.
+func runDomainWith(t *testing.T, size int, change func(*member), test func(t *testing.T, d *domain)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		d := newDomain(size)
+		for _, m := range d.members {
+			change(m)
+		}
 		ctx, cancel := context.WithCancel(t.Context())
 		for _, m := range d.members {
 			go m.run(ctx)
