--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -44,7 +44,7 @@
 	maxNoticeItemBytes     = 512              // of a gossip item about what an upstream states
 	noticeLifetime         = 10 * time.Minute // of such an item
 	maxEvacuationItems     = 256
-	maxEvacuationItemBytes = 768              // of a gossip item about an evacuation
+	maxEvacuationItemBytes = 1 << 10          // of a gossip item about an evacuation
 	evacuationLifetime     = 30 * time.Minute // of such an item
 	// evacuationWaitDivisor divides the bound of evacuations: a poll for changes waits that
 	// long. A connection that has fallen silent shows only after it.
