tests: crowds of callers against a real process

TestCrowds starts the program with 64 MB and 600 or 4,096 descriptors, plays 1,500 callers of one kind at one door and checks that the process lives, that its resident memory and descriptors stay within its settings, and that every door then answers an ordinary request while the crowd stays. "make crowd" runs it alone; "make check" does so after the tests.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,9 @@
 GOLANGCI := github.com/golangci/golangci-lint/v2/cmd/golangci-lint@v2.15.0
 GOPLS := golang.org/x/tools/gopls@v0.23.0
 
-.PHONY: check demo traces soak build format lint layers test runs tools generate gopls
+.PHONY: check demo traces soak build format lint layers test crowd runs tools generate gopls
 
-check: tools format lint layers test runs
+check: tools format lint layers test crowd runs
 
 build:
 	go build -o bin/ ./cmd/...
@@ -40,6 +40,10 @@
 test:
 	go test -race $(addsuffix /...,$(addprefix ./,$(MODULES)))
 
+# Crowds of callers against real processes, one at a time and apart from other load.
+crowd:
+	go test -p 1 -count=1 -timeout 30m -run 'TestCrowds|TestManyHeaderLines' ./platform -crowd
+
 # The random runs of budgets in full number and the comparison with one global
 # counter; with -race there are fewer runs.
 runs:
