callers: bound connections, heads, bodies and unsent answers together

Cause: net/http bounds one request, not all of them. It parses heads into maps as their lines come, so that 16 KiB of two-byte names held some hundred KiB for each connection until the head or the deadline ended; answers of 256 KiB were held for callers that read nothing; connections and the unanswered bytes of other instances were not counted at all.

Change: nutmegaccount keeps an account of each listener's connections and memory, decided without network or clock. nutmegserve counts the bytes and lines of heads before net/http parses them, gives up idle and slow connections first, and refuses with 503 or 431. Bodies and buffered answers take memory as they come. The configuration's headerBytes, headerTimeoutMs and idleTimeoutMs hold, with a margin. New settings limits.max_connections and limits.caller_memory_mb.

--- a/internal/instance/nutmegentry/body.go
+++ b/internal/instance/nutmegentry/body.go
@@ -4,6 +4,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -41,47 +42,89 @@
 		return func() {}, nil
 	}
 	limit := call.Limits.BodyBytes
+	controller := http.NewResponseController(w)
 	if limit > 0 && r.ContentLength > limit {
+		leaveBody(controller)
 		return nil, tooLarge()
 	}
-	controller := http.NewResponseController(w)
 	_ = controller.SetReadDeadline(call.Deadline)
-	reader := r.Body
+	memory := e.memoryOf(r.Context())
+	if !memory.read(0) { // from now on, a connection that stands still may be given up
+		return nil, bodyRefusal(errBodyMemory)
+	}
+	reader := &accountedReader{from: r.Body, memory: memory}
 	if limit > 0 {
-		reader = http.MaxBytesReader(w, r.Body, limit)
+		reader.from = http.MaxBytesReader(w, r.Body, limit)
 	}
 	body, taken, err := e.bodies.read(reader, r.ContentLength)
 	release := func() { e.bodies.release(taken) }
 	if err != nil {
 		release()
+		leaveBody(controller)
 		return nil, bodyRefusal(err)
 	}
 	_ = controller.SetReadDeadline(time.Time{})
+	memory.begin()
 	call.Body = body
 	return release, nil
 }
 
+// leaveBody keeps net/http from waiting for the rest of a body that nobody reads.
+func leaveBody(controller *http.ResponseController) {
+	_ = controller.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+}
+
 // read reads a body of the given size, or of unknown size if size is negative. It
-// returns the number of bytes that it has taken of the memory, also on an error.
+// returns the number of bytes that it has taken of the memory, also on an error. It
+// takes memory only for bytes that have arrived.
 func (m *bodyMemory) read(from io.Reader, size int64) (body []byte, taken int64, err error) {
-	if size < 0 {
-		metered := &meteredReader{from: from, memory: m}
+	metered := &meteredReader{from: from, memory: m}
+	switch {
+	case size < 0:
 		body, err = io.ReadAll(metered)
-		return body, metered.taken, err
-	}
-	if !m.take(size) {
-		return nil, 0, errBodyMemory
+	case m.used.Load()+size > m.limit:
+		err = errBodyMemory
+	default:
+		body, err = readSized(metered, size)
 	}
-	body = make([]byte, size)
-	if _, err := io.ReadFull(from, body); err != nil {
-		return nil, size, err
+	return body, metered.taken, err
+}
+
+// readSized reads a body of the given size.
+func readSized(from io.Reader, size int64) ([]byte, error) {
+	body := make([]byte, 0, min(size, firstBodyBytes))
+	for int64(len(body)) < size {
+		if len(body) == cap(body) {
+			body = slices.Grow(body, int(min(size-int64(len(body)), bodyGrowth*int64(len(body)))))
+		}
+		part := body[len(body):min(int64(cap(body)), size)]
+		n, err := from.Read(part)
+		body = body[:len(body)+n]
+		if err != nil && int64(len(body)) < size {
+			return nil, err
+		}
 	}
 	// The server only notices the end of the body on a read past its size.
 	var more [1]byte
 	if n, err := from.Read(more[:]); n > 0 || !errors.Is(err, io.EOF) {
-		return nil, size, errors.Join(errBodySize, err)
+		return nil, errors.Join(errBodySize, err)
 	}
-	return body, size, nil
+	return body, nil
+}
+
+// accountedReader takes memory of a caller's connection for the bytes that it reads.
+type accountedReader struct {
+	from   io.Reader
+	memory callMemory
+}
+
+// Read implements io.Reader.
+func (r *accountedReader) Read(p []byte) (int, error) {
+	n, err := r.from.Read(p)
+	if !r.memory.read(int64(n)) {
+		return 0, errBodyMemory
+	}
+	return n, err
 }
 
 // meteredReader takes body memory for the bytes that it reads.
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -28,6 +28,24 @@
 	defaultRequestTimeout = 30 * time.Second // for callers that do not send a timeout
 	bodyMemoryShare       = 0.25             // share of the memory limit for bodies of requests in progress
 	refusalRetryAfter     = 300 * time.Millisecond
+	refusalRetrySpread    = 700 * time.Millisecond // added at random, so that refused callers do not return together
+	refusalLogInterval    = time.Second
+	firstBodyBytes        = 1 << 10                // buffered for a body before any of it has come
+	bodyGrowth            = 3                      // by which a body's buffer grows, times its size
+	unreadBodyTimeout     = 200 * time.Millisecond // for the rest of a body that is not read
+
+	// Shares of the instance's descriptors and memory. The rest is for the store, upstreams
+	// and the instance itself.
+	callerDescriptorShare = 0.45
+	callerMemoryShare     = 0.45 // with the bodies of requests
+	peerDescriptorShare   = 0.2
+	peerMemoryShare       = 0.08
+	// Of each of the servers for readiness and metrics.
+	probeConnections = 16
+	probeMemory      = 1 << 20 // bytes
+
+	requestLineBytes = 1 << 10     // of a head beyond the configuration's limit, which need not count the request line
+	networkDelay     = time.Second // of bytes that a caller has sent in time
 
 	storeOutageAfter = 2800 * time.Millisecond // an outage starts this long after the last successful response
 	// budgetsPerShard is the number of budgets per store object. More budgets make
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -32,6 +32,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegfollow"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegroster"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/instance/nutmegaccount"
 	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
@@ -109,6 +110,7 @@
 	traffic       *nutmegconn.Traffic
 	running       atomic.Int64 // requests in progress
 	bodies        *bodyMemory  // of requests in progress
+	limits        *callerLimits
 	abortRequests context.CancelCauseFunc
 	requestsCtx   context.Context // canceled to abort running requests
 	stopFollowing context.CancelFunc
@@ -132,6 +134,7 @@
 	e.log = cfg.Log.WithFields(logrus.Fields{"instance": cfg.Settings.Instance.Name, "incarnation": e.incarnation})
 	e.requestsCtx, e.abortRequests = context.WithCancelCause(context.Background())
 	e.bodies = &bodyMemory{limit: int64(bodyMemoryShare * float64(cfg.Settings.Limits.MemoryMB) * (1 << 20))}
+	e.limits = newCallerLimits(e)
 	e.traffic = &nutmegconn.Traffic{}
 	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.overload = &overload{entry: e, done: make(chan struct{})}
@@ -240,14 +243,14 @@
 	e.stopFollowing = cancel
 	e.configFollower.Start(ctx)
 	e.upstreamFollower.Start(ctx)
-	e.roster.Start(ctx, e.traffic.Listener(peers))
+	e.roster.Start(ctx, nutmegserve.LimitListener(e.traffic.Listener(peers), &nutmegserve.Limits{Account: nutmegaccount.New(peerBounds(e.cfg.Settings.Limits)), Elapsed: e.uptime}))
 	go e.fetchConfigLoop(ctx)
 	go e.overload.loop(ctx)
 	go e.suspectStore.run(ctx)
 	go e.rateInformer.run(ctx)
 	e.pool.Start()
-	e.readiness = e.serve(readiness, e.readinessHandler())
-	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle))
+	e.readiness = e.serve(readiness, e.readinessHandler(), e.probeLimits())
+	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle), e.limits.serverLimits())
 	e.serveMetrics()
 	e.event("start").WithFields(logrus.Fields{"callers": l.Callers, "store": e.cfg.Settings.Store.Address}).Info("instance started")
 	return nil
@@ -261,7 +264,7 @@
 		e.event("metrics_unavailable").WithError(err).Error("cannot open the metrics listener; metrics are not served")
 		return
 	}
-	e.metricsServer = e.serve(l, e.metricsHandler())
+	e.metricsServer = e.serve(l, e.metricsHandler(), e.probeLimits())
 }
 
 // Reload applies the settings that can change without a restart: the retry budget
@@ -278,13 +281,14 @@
 	return e.drain.Load() == nil && !e.overload.active() && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0
 }
 
-func (e *Entry) serve(l net.Listener, h http.Handler) *nutmegserve.Server {
+func (e *Entry) serve(l net.Listener, h http.Handler, limits *nutmegserve.Limits) *nutmegserve.Server {
 	return nutmegserve.Start(l, nutmegserve.Config{
 		Handler:        h,
 		HeaderTimeout:  headerTimeout,
 		IdleTimeout:    callerIdleTimeout,
 		WriteTimeout:   writeTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
+		Limits:         limits,
 		Log:            e.log,
 	})
 }
--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -76,7 +76,7 @@
 	call := &nutmegcall.Call{
 		ID: info.ID, Revision: config.Revision, Route: route, Prompt: info.Prompt,
 		Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: r.Header, Arrived: arrived,
-		Deadline: arrived.Add(requestTimeout(info, route)), Limits: config.Limits,
+		Deadline: arrived.Add(requestTimeout(info, route)), Limits: config.Limits, Memory: e.memoryOf(r.Context()),
 	}
 	workspace, refusal := authenticate(config, route, info)
 	if refusal != nil {
--- a/internal/ops/nutmegserve/departure.go
+++ b/internal/ops/nutmegserve/departure.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -11,6 +12,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/nutmegwind/nutmegwind/internal/instance/nutmegaccount"
 )
 
 // departureInterval is how often connections are checked whose end net/http does
@@ -68,10 +71,21 @@
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
+	if l, ok := c.(*limitedConn); ok {
+		c = l.Conn
+	}
 	w, _ := c.(*watchedConn)
 	return w
 }
 
+// CloseWrite ends what this side sends, and leaves the other direction open.
+func (c *watchedConn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // Read implements net.Conn.
 func (c *watchedConn) Read(p []byte) (int, error) {
 	c.reads.Add(1)
@@ -194,6 +208,9 @@
 
 // track follows the state of a connection.
 func (d *departures) track(c net.Conn, state http.ConnState) {
+	if l, ok := c.(*limitedConn); ok {
+		l.track(state)
+	}
 	w := watchedConnOf(c)
 	if w == nil {
 		return
@@ -202,10 +219,23 @@
 	w.active.Store(state == http.StateActive)
 }
 
-type watchedConnKey struct{}
+// AccountOf returns the account of the connection that a request came on, nil if there
+// is none.
+func AccountOf(ctx context.Context) *nutmegaccount.Conn {
+	account, _ := ctx.Value(accountKey{}).(*nutmegaccount.Conn)
+	return account
+}
 
-// withConn returns a context that holds a connection, for watch.
+type (
+	watchedConnKey struct{}
+	accountKey     struct{}
+)
+
+// withConn returns a context that holds a connection, for watch, and its account.
 func (d *departures) withConn(ctx context.Context, c net.Conn) context.Context {
+	if l, ok := c.(*limitedConn); ok {
+		ctx = context.WithValue(ctx, accountKey{}, l.account)
+	}
 	if w := watchedConnOf(c); w != nil {
 		return context.WithValue(ctx, watchedConnKey{}, w)
 	}
--- a/internal/ops/nutmegserve/departure_test.go
+++ b/internal/ops/nutmegserve/departure_test.go
@@ -61,7 +61,7 @@
 	return func(l net.Listener) net.Listener { return tls.NewListener(Watch(l), certificate.TLS) }
 }
 
-func dial(t *testing.T, address string) net.Conn {
+func dial(t testing.TB, address string) net.Conn {
 	t.Helper()
 	var d net.Dialer
 	c, err := d.DialContext(t.Context(), "tcp", address)
--- a/internal/ops/nutmegserve/server.go
+++ b/internal/ops/nutmegserve/server.go
@@ -27,6 +27,7 @@
 	WriteTimeout   time.Duration // for one request, from the end of its header
 	MaxHeaderBytes int           // http.DefaultMaxHeaderBytes when zero
 	ConnState      func(net.Conn, http.ConnState)
+	Limits         *Limits       // of all callers together; nil means none
 	Log            *logrus.Entry // receives net/http's messages at debug level
 }
 
@@ -60,8 +61,12 @@
 			cfg.ConnState(c, state)
 		}
 	}
+	l = Watch(l)
+	if cfg.Limits != nil {
+		l = limitListener(l, cfg.Limits)
+	}
 	go d.loop()
-	go s.run(Watch(l))
+	go s.run(l)
 	return s
 }
 
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -58,6 +58,14 @@
 	Prompt  Prompt
 }
 
+// Memory is the account of what a call holds in memory. It is released when the call has
+// ended, at the latest.
+type Memory interface {
+	// Take takes memory and returns false if too little is left.
+	Take(bytes int64) bool
+	Release(bytes int64)
+}
+
 // Call is one request from a caller. What the configuration that admitted it says of
 // it stays with it: a newer one may no longer know its route, service or workspace.
 type Call struct {
@@ -77,6 +85,7 @@
 	Target string // path and query as sent by the caller
 	Header http.Header
 	Body   []byte
+	Memory Memory
 
 	Arrived  time.Time
 	Deadline time.Time // the earlier of the caller's and the route's limits
@@ -129,6 +138,8 @@
 	ReasonUpstreamFailed     Reason = "upstream_failed"
 	ReasonCallerLeft         Reason = "caller_left"
 	ReasonOutOfMemory        Reason = "out_of_memory"
+	ReasonTooManyConnections Reason = "too_many_connections"
+	ReasonHeadTooLarge       Reason = "head_too_large"
 	ReasonInstanceStopping   Reason = "instance_stops"
 	ReasonAnswered           Reason = "answered"
 	ReasonResponseIncomplete Reason = "answer_broken_off"
--- a/internal/traffic/nutmegrelay/attempt.go
+++ b/internal/traffic/nutmegrelay/attempt.go
@@ -142,6 +142,8 @@
 		result = nutmegplace.ResultMisdirected
 	}
 	e.relay.cfg.Placer.Done(p, result, e.relay.cfg.Elapsed())
-	_, err := readBuffered(resp)
+	refusal := &buffer{memory: e.call.Memory}
+	defer refusal.release()
+	err := refusal.read(resp)
 	return attemptNotRun, errors.Join(fmt.Errorf("upstream refused the request with status %d", resp.StatusCode), err)
 }
--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -21,6 +21,8 @@
 	// without end that never complete an event.
 	maxEventBytes = 256 << 10
 	chunkSize     = 8 << 10
+	// firstBufferBytes is the first size of the buffer for a response body.
+	firstBufferBytes = 1 << 10
 )
 
 var (
@@ -28,17 +30,52 @@
 	errOverBound = errors.New("the stream has more events than output tokens were reserved")
 )
 
-// readBuffered reads a response body. If the body exceeds maxBufferedBytes, it
-// returns the bytes read so far and errTooLarge.
-func readBuffered(resp *nutmegconn.Response) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return nil, err
+// buffer holds a response body. Its memory is taken from the call's.
+type buffer struct {
+	memory nutmegcall.Memory // nil means no limit
+	bytes  []byte
+	taken  int64
+}
+
+// read reads the body of a response. If the body exceeds maxBufferedBytes or the memory
+// that is left, it returns errTooLarge and holds the bytes read so far.
+func (b *buffer) read(resp *nutmegconn.Response) error {
+	// One byte more than the body has shows its end without growth.
+	next := int(min(max(resp.ContentLength+1, firstBufferBytes), maxBufferedBytes+1))
+	for {
+		if len(b.bytes) == cap(b.bytes) {
+			if !b.grow(next) {
+				return errTooLarge
+			}
+			next = min(len(b.bytes)+next, maxBufferedBytes+1-cap(b.bytes))
+		}
+		n, err := resp.Body.Read(b.bytes[len(b.bytes):cap(b.bytes)])
+		b.bytes = b.bytes[:len(b.bytes)+n]
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
 	}
-	if len(body) > maxBufferedBytes {
-		return body, errTooLarge
+}
+
+// grow adds space to the buffer, and reports whether there was some.
+func (b *buffer) grow(more int) bool {
+	if more == 0 || b.memory != nil && !b.memory.Take(int64(more)) {
+		return false
+	}
+	b.taken += int64(more)
+	b.bytes = append(make([]byte, 0, len(b.bytes)+more), b.bytes...)
+	return true
+}
+
+// release returns the memory. The bytes must not be used any more.
+func (b *buffer) release() {
+	if b.memory != nil {
+		b.memory.Release(b.taken)
 	}
-	return body, nil
+	b.taken, b.bytes = 0, nil
 }
 
 // impliesNotRun reports whether callers take a status to mean that the request has
@@ -53,7 +90,9 @@
 
 // forwardResponse forwards a response that is not a stream once it is complete.
 func (e *exchange) forwardResponse(ctx context.Context, p *nutmegplace.Placement, resp *nutmegconn.Response) (attemptResult, error) {
-	body, err := readBuffered(resp)
+	buffered := &buffer{memory: e.call.Memory}
+	defer buffered.release()
+	err := buffered.read(resp)
 	large := errors.Is(err, errTooLarge)
 	if err != nil && !large {
 		e.finish(ctx, p, nutmegplace.ResultFailed)
@@ -68,11 +107,11 @@
 		return attemptUnknown, fmt.Errorf("answered with status %d", resp.StatusCode)
 	}
 	if large {
-		return e.forwardChunks(ctx, p, resp, body)
+		return e.forwardChunks(ctx, p, resp, buffered)
 	}
 	e.finish(ctx, p, resultOf(resp.StatusCode))
 	e.answered(resp.StatusCode)
-	if err := e.sink.SendResponse(resp.StatusCode, resp.Header, body); err != nil {
+	if err := e.sink.SendResponse(resp.StatusCode, resp.Header, buffered.bytes); err != nil {
 		e.outcome.Detail = "the caller did not take the answer: " + err.Error()
 	}
 	return attemptDone, nil
@@ -101,14 +140,20 @@
 
 // forwardChunks forwards a large response in chunks, starting with the bytes that
 // were already buffered.
-func (e *exchange) forwardChunks(ctx context.Context, p *nutmegplace.Placement, resp *nutmegconn.Response, buffered []byte) (attemptResult, error) {
+func (e *exchange) forwardChunks(ctx context.Context, p *nutmegplace.Placement, resp *nutmegconn.Response, buffered *buffer) (attemptResult, error) {
 	e.sendHeader(resp)
 	e.outcome.Status = resp.StatusCode
+	if err := e.sink.Write(buffered.bytes); err != nil {
+		return e.callerStalled(ctx, p, err)
+	}
+	buffered.release()
 	chunk := make([]byte, chunkSize)
 	var readErr error
-	for part := buffered; ; {
-		if err := e.sink.Write(part); err != nil {
-			return e.callerStalled(ctx, p, err)
+	for part := chunk[:0]; ; {
+		if len(part) > 0 {
+			if err := e.sink.Write(part); err != nil {
+				return e.callerStalled(ctx, p, err)
+			}
 		}
 		if readErr != nil {
 			break
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -82,4 +82,5 @@
 	maxHomesPerDomain    = 1000 // instances in a failure domain that lease one budget
 	maxHomeDomains       = 1000
 	maxDescriptors       = 1 << 20
+	maxCallerShare       = 0.6 // of an instance's descriptors and memory, for its callers
 )
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -56,6 +56,12 @@
 	StopTimeout     Duration `toml:"stop_timeout"`
 	Cores           float64  `toml:"cores"`     // processor cores that the instance may use
 	LinkMbps        float64  `toml:"link_mbps"` // bandwidth of the network link, in megabits per second
+	// MaxConnections is how many connections of callers may be open at once; 0 means a
+	// share of FileDescriptors.
+	MaxConnections int `toml:"max_connections"`
+	// CallerMemoryMB is the memory that callers' connections, requests and unsent answers
+	// may take; 0 means a share of MemoryMB.
+	CallerMemoryMB int `toml:"caller_memory_mb"`
 }
 
 // EntryBudgetSettings control the size of the leases of prepaid tokens.
@@ -151,6 +157,8 @@
 	c.positive("limits.stop_timeout", s.Limits.StopTimeout)
 	c.between("limits.cores", s.Limits.Cores, minCores, maxCores)
 	c.between("limits.link_mbps", s.Limits.LinkMbps, minLinkMbps, maxLinkMbps)
+	c.between("limits.max_connections", float64(s.Limits.MaxConnections), 0, maxCallerShare*float64(s.Limits.FileDescriptors))
+	c.between("limits.caller_memory_mb", float64(s.Limits.CallerMemoryMB), 0, maxCallerShare*float64(s.Limits.MemoryMB))
 	c.positive("budget.horizon", s.Budget.Horizon)
 	c.between("budget.leased", s.Budget.Leased, 0, 1)
 	c.between("budget.even", s.Budget.Even, 0, 1)
