--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -113,6 +113,7 @@
 	traffic       *nutmegconn.Traffic
 	running       atomic.Int64 // requests in progress
 	bodies        *bodyMemory  // of requests in progress
+	limits        *callerLimits
 	abortRequests context.CancelCauseFunc
 	requestsCtx   context.Context // canceled to abort running requests
 	stopFollowing context.CancelFunc
@@ -136,6 +137,7 @@
 	e.log = cfg.Log.WithFields(logrus.Fields{"instance": cfg.Settings.Instance.Name, "incarnation": e.incarnation})
 	e.requestsCtx, e.abortRequests = context.WithCancelCause(context.Background())
 	e.bodies = &bodyMemory{limit: int64(bodyMemoryShare * float64(cfg.Settings.Limits.MemoryMB) * (1 << 20))}
+	e.limits = newCallerLimits(e)
 	e.traffic = &nutmegconn.Traffic{}
 	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
 	e.overload = &overload{entry: e, done: make(chan struct{})}
@@ -253,14 +255,14 @@
 	if e.evacuations != nil {
 		e.evacuations.follower.Start(ctx)
 	}
-	e.roster.Start(ctx, e.traffic.Listener(peers))
+	e.roster.Start(ctx, e.limitPeers(peers))
 	go e.fetchConfigLoop(ctx)
 	go e.overload.loop(ctx)
 	go e.suspectStore.run(ctx)
 	go e.rateInformer.run(ctx)
 	e.pool.Start()
-	e.readiness = e.serve(readiness, e.readinessHandler())
-	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle))
+	e.readiness = e.serve(readiness, e.readinessHandler(), e.probeLimits())
+	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle), e.limits.serverLimits())
 	e.serveMetrics()
 	e.event("start").WithFields(logrus.Fields{"callers": l.Callers, "store": e.cfg.Settings.Store.Address}).Info("instance started")
 	return nil
@@ -274,7 +276,7 @@
 		e.event("metrics_unavailable").WithError(err).Error("cannot open the metrics listener; metrics are not served")
 		return
 	}
-	e.metricsServer = e.serve(l, e.metricsHandler())
+	e.metricsServer = e.serve(l, e.metricsHandler(), e.probeLimits())
 }
 
 // Reload applies the settings that can change without a restart: the retry budget
@@ -288,16 +290,18 @@
 
 // Ready reports whether the instance accepts new callers.
 func (e *Entry) Ready() bool {
-	return e.drain.Load() == nil && !e.overload.active() && e.view.Config() != nil && e.meter.IsOpen() && len(e.view.Upstreams().ByID) > 0 && e.evacuations.known()
+	informed := e.view.Config() != nil && len(e.view.Upstreams().ByID) > 0 && e.evacuations.known()
+	return informed && e.meter.IsOpen() && e.drain.Load() == nil && !e.overload.active()
 }
 
-func (e *Entry) serve(l net.Listener, h http.Handler) *nutmegserve.Server {
+func (e *Entry) serve(l net.Listener, h http.Handler, limits *nutmegserve.Limits) *nutmegserve.Server {
 	return nutmegserve.Start(l, nutmegserve.Config{
 		Handler:        h,
 		HeaderTimeout:  headerTimeout,
 		IdleTimeout:    callerIdleTimeout,
 		WriteTimeout:   writeTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
+		Limits:         limits,
 		Log:            e.log,
 	})
 }
--- a/nutmegconf/defaults.go
+++ b/nutmegconf/defaults.go
@@ -84,4 +84,5 @@
 	minEvacuationBound   = time.Second
 	maxEvacuationBound   = time.Minute
 	maxDescriptors       = 1 << 20
+	maxCallerShare       = 0.6 // of an instance's descriptors and memory, for its callers
 )
