evacuations: use a feeder's answer up to half of the bound

Cause: a feeder with little processor time gave answers that were up to 0.1 s too old, whose askers then polled the store themselves.

Change: the greatest age is half of the bound, no longer a third and 0.4 s.

--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -49,7 +49,10 @@
 	// evacuationWaitDivisor divides the bound of evacuations: a poll for changes waits that
 	// long. A connection that has fallen silent shows only after it.
 	evacuationWaitDivisor = 3
-	permitTimeout         = 120 * time.Millisecond // of a question to the home of a rate limit
-	permitRetryInterval   = 500 * time.Millisecond // until a home that has not answered is asked again
-	feedMargin            = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
+	// evacuationAgeDivisor divides that bound, too: a feeder's answer is used up to this age.
+	// A feeder with little processor time needs longer than its wait.
+	evacuationAgeDivisor = 2
+	permitTimeout        = 120 * time.Millisecond // of a question to the home of a rate limit
+	permitRetryInterval  = 500 * time.Millisecond // until a home that has not answered is asked again
+	feedMargin           = 400 * time.Millisecond // of a feeder's answer beyond its own waits, before it counts as stale
 )
--- a/internal/instance/nutmegentry/evacuations.go
+++ b/internal/instance/nutmegentry/evacuations.go
@@ -56,7 +56,7 @@
 	wait := bound / evacuationWaitDivisor
 	v.feed = e.newFeed(nutmegfeed.Config{
 		Kind: e.cfg.Platform.EvacuationKind, FeederWait: wait, PeerWait: wait,
-		MaxAge: func() time.Duration { return wait + feedMargin },
+		MaxAge: func() time.Duration { return bound / evacuationAgeDivisor },
 	})
 	v.follower = nutmegfollow.NewEvacuationFollower(nutmegfollow.EvacuationFollowerConfig{
 		Store: e.client, Source: v.feed, Kind: e.cfg.Platform.EvacuationKind, Wait: wait, View: e.view,
