evacuations: an end found in a list is told once

Change: an end without a version of its own is no news if another one is known since the object was made.

Measured: TestEndIsToldOnceAfterAListByAll.

--- a/internal/fleet/nutmegfollow/evacuations.go
+++ b/internal/fleet/nutmegfollow/evacuations.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 	"unicode"
 
@@ -99,7 +100,10 @@
 			t.onUnusable(o)
 			continue
 		}
-		c := t.apply(o, b.StoreVersion)
+		c, news := t.apply(o, b.StoreVersion, known)
+		if !news {
+			continue
+		}
 		if _, again := latest[c.FailureDomain]; !again {
 			order = append(order, c.FailureDomain)
 		}
@@ -115,21 +119,25 @@
 	return changes
 }
 
-// apply records an object and returns its change. A deletion may carry the version of
-// the deleted object; the store's version is later than that, and earlier than that
-// of an object created afterwards.
-func (t *evacuationTable) apply(o nutmegstore.Object, storeVersion nutmegid.Version) nutmegview.EvacuationChange {
+// apply records an object and returns its change, if it is news. A deletion may carry
+// the version of the deleted object; the store's version is later than that, and earlier
+// than that of an object created afterwards. It differs between instances, so that such
+// a deletion is no news if another instance has told it.
+func (t *evacuationTable) apply(o nutmegstore.Object, storeVersion nutmegid.Version, known []nutmegview.EvacuationChange) (nutmegview.EvacuationChange, bool) {
 	domain := nutmegid.FailureDomain(o.Key.Name)
 	if !o.Deleted {
 		t.present[domain] = o.Version
-		return nutmegview.EvacuationChange{FailureDomain: domain, Evacuated: true, Version: o.Version}
-	}
-	version := o.Version
-	if version <= t.present[domain] {
-		version = max(version, storeVersion)
+		return nutmegview.EvacuationChange{FailureDomain: domain, Evacuated: true, Version: o.Version}, true
 	}
+	created := t.present[domain]
 	delete(t.present, domain)
-	return nutmegview.EvacuationChange{FailureDomain: domain, Version: version}
+	if o.Version > created {
+		return nutmegview.EvacuationChange{FailureDomain: domain, Version: o.Version}, true
+	}
+	told := slices.ContainsFunc(known, func(c nutmegview.EvacuationChange) bool {
+		return c.FailureDomain == domain && !c.Evacuated && c.Version > created
+	})
+	return nutmegview.EvacuationChange{FailureDomain: domain, Version: max(o.Version, storeVersion)}, !told
 }
 
 // missing returns the ends of the evacuations in known that a complete list no longer
--- a/internal/fleet/nutmegfollow/evacuations_test.go
+++ b/internal/fleet/nutmegfollow/evacuations_test.go
@@ -85,6 +85,25 @@
 	}
 }
 
+// TestEndIsToldOnceAfterAListByAll covers a fleet whose instances all list the objects
+// again at different versions of the store: the end that the first one has found and told
+// must not count again, and an object made after it must.
+func TestEndIsToldOnceAfterAListByAll(t *testing.T) {
+	v := nutmegview.New()
+	f := NewEvacuationFollower(EvacuationFollowerConfig{View: v})
+	f.apply(listOf(5, created("ipoh", 5)))
+	v.ApplyEvacuation(nutmegview.EvacuationChange{FailureDomain: "ipoh", Version: 30}) // told by another instance
+	f.apply(listOf(32, deleted("ipoh", 5)))
+	want := []nutmegview.EvacuationChange{{FailureDomain: "ipoh", Version: 30}}
+	if diff := cmp.Diff(want, v.Evacuations()); diff != "" {
+		t.Errorf("evacuations after the list (-want +got):\n%s", diff)
+	}
+	f.apply(batchOf(33, created("ipoh", 33)))
+	if !v.IsEvacuated("ipoh") {
+		t.Error("an evacuation after the list does not count")
+	}
+}
+
 // TestOddNamesEvacuateNothing checks that names which no failure domain has are
 // reported and ignored, and that the value of an entry does not matter.
 func TestOddNamesEvacuateNothing(t *testing.T) {
