--- a/internal/instance/nutmegaccount/account.go
+++ b/internal/instance/nutmegaccount/account.go
@@ -46,7 +46,7 @@
 	minAge = time.Second
 	// smallAmount is what one connection may take also of the memory that is reserved
 	// for ordinary requests.
-	smallAmount Bytes = 48 << 10
+	smallAmount Bytes = 72 << 10
 	// reservedShare is the share of the memory that is reserved for small amounts.
 	reservedShare = 0.25
 )
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -42,7 +42,7 @@
 	peerMemoryShare       = 0.08
 	// Of each of the servers for readiness and metrics.
 	probeConnections = 16
-	probeMemory      = 1 << 20 // bytes
+	probeMemory      = 2 << 20 // bytes
 
 	requestLineBytes = 1 << 10     // of a head beyond the configuration's limit, which need not count the request line
 	networkDelay     = time.Second // of bytes that a caller has sent in time
--- a/internal/ops/nutmegserve/limits.go
+++ b/internal/ops/nutmegserve/limits.go
@@ -14,7 +14,7 @@
 const (
 	// What a request takes in memory beside its connection, from its first byte until it is
 	// answered.
-	requestMemory  nutmegaccount.Bytes = 24 << 10 // for its records and for a connection to an upstream
+	requestMemory  nutmegaccount.Bytes = 48 << 10 // for its records and for a connection to an upstream
 	headByteMemory nutmegaccount.Bytes = 2        // for each byte of its head
 	headLineMemory nutmegaccount.Bytes = 160      // for each line of its head
 
