overload: leave weak instances for longer and refuse at once what can't be reached

Three times the workspace's usual fills that instance's link of 10 Mbit/s and its 0.12 of a core; replies of upstreams, peers and the store wait behind callers' requests, so own connections time out and what arrives fails. Instances left for 3 s, also for catching up with peers after a cut, so that the workspace went round among the weak ones and never reached one with a fast link.

Change: only bytes of callers count against readiness. Where the domain has links twice as fast, an overload lasts 12 s at least, doubled if the load is back at once. Connections stay open once the load is gone. While none of an instance's own connections succeeds, a request is refused at once, as not run, with a time to come back.

--- a/internal/fleet/nutmegroster/homes.go
+++ b/internal/fleet/nutmegroster/homes.go
@@ -143,6 +143,15 @@
 	return list[:min(limit, len(list))]
 }
 
+// IsWeak reports whether this instance has less than strongFraction of the fastest
+// link in its failure domain.
+func (r *Roster) IsWeak() bool {
+	self := r.cfg.Self
+	return slices.ContainsFunc(r.others(), func(i nutmegview.Instance) bool {
+		return i.FailureDomain == self.FailureDomain && self.LinkMbps < strongFraction*i.LinkMbps
+	})
+}
+
 func pointers(list []nutmegview.Instance) []*nutmegview.Instance {
 	all := make([]*nutmegview.Instance, len(list))
 	for i := range list {
--- a/internal/fleet/nutmegroster/homes_test.go
+++ b/internal/fleet/nutmegroster/homes_test.go
@@ -247,3 +247,23 @@
 		})
 	}
 }
+
+// TestWeakInstancesHaveFasterNeighbors checks that an instance is weak only if another
+// one of its own failure domain has a much faster link.
+func TestWeakInstancesHaveFasterNeighbors(t *testing.T) {
+	all := testFleet(9)
+	for i := range all {
+		all[i].LinkMbps = 10
+	}
+	all[0].LinkMbps = 200 // in domain-0, as 3 and 6
+	all[1].LinkMbps = 15  // in domain-1, as 4 and 7
+	var weak []nutmegid.Instance
+	for i := range all {
+		if testRoster(all, i).IsWeak() {
+			weak = append(weak, all[i].Name)
+		}
+	}
+	if diff := cmp.Diff([]nutmegid.Instance{"instance-3", "instance-6"}, weak); diff != "" {
+		t.Errorf("weak instances (-want +got):\n%s", diff)
+	}
+}
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -29,6 +29,10 @@
 	bodyMemoryShare       = 0.25             // share of the memory limit for bodies of requests in progress
 	refusalRetryAfter     = 300 * time.Millisecond
 
+	// cutOffRetryAfter is the least wait of callers that should try another instance. As
+	// much again is random, so that they do not come there together.
+	cutOffRetryAfter = 30 * time.Millisecond
+
 	storeOutageAfter = 2800 * time.Millisecond // an outage starts this long after the last successful response
 	// budgetsPerShard is the number of budgets per store object. More budgets make
 	// commits larger and conflicts likelier; fewer require more commits.
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -106,9 +106,10 @@
 	drain         atomic.Pointer[drain]                  // nil until a stop is requested
 	loggedAmounts map[nutmegid.Workspace]nutmegid.Tokens // prepaid amounts of the latest configuration, for logging
 	overload      *overload
-	traffic       *nutmegconn.Traffic
-	running       atomic.Int64 // requests in progress
-	bodies        *bodyMemory  // of requests in progress
+	reach         *reach
+	callerTraffic *nutmegconn.Traffic // of callers' connections
+	running       atomic.Int64        // requests in progress
+	bodies        *bodyMemory         // of requests in progress
 	abortRequests context.CancelCauseFunc
 	requestsCtx   context.Context // canceled to abort running requests
 	stopFollowing context.CancelFunc
@@ -132,8 +133,9 @@
 	e.log = cfg.Log.WithFields(logrus.Fields{"instance": cfg.Settings.Instance.Name, "incarnation": e.incarnation})
 	e.requestsCtx, e.abortRequests = context.WithCancelCause(context.Background())
 	e.bodies = &bodyMemory{limit: int64(bodyMemoryShare * float64(cfg.Settings.Limits.MemoryMB) * (1 << 20))}
-	e.traffic = &nutmegconn.Traffic{}
-	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
+	e.callerTraffic = &nutmegconn.Traffic{}
+	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{})
+	e.reach = &reach{entry: e}
 	e.overload = &overload{entry: e, done: make(chan struct{})}
 	e.buildSuspects()
 	e.buildNotices()
@@ -148,7 +150,7 @@
 		BaseURL: "http://" + s.Store.Address,
 		Dialect: e.cfg.Platform.Dialect,
 		HTTP: &http.Client{Transport: &http.Transport{
-			DialContext:         e.dialer.Dial,
+			DialContext:         e.reach.dial,
 			MaxIdleConnsPerHost: storeConnections,
 			IdleConnTimeout:     storeIdleTimeout,
 			// The default is too much for an instance with little memory.
@@ -171,7 +173,7 @@
 		Store: e.client, Source: e.upstreamFeed, Kind: e.cfg.Platform.UpstreamKind, Decode: e.cfg.Platform.DecodeUpstream, View: e.view, OnChange: e.upstreamChanged,
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
-		Client: e.client, Writer: e.writer, Dial: e.dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
+		Client: e.client, Writer: e.writer, Dial: e.reach.dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
 		Budgets: budgetServer{e}, Reservations: reservationServer{e}, Permits: permitServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: e.peersStarted, Items: e.items(),
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
@@ -190,7 +192,7 @@
 	s := e.cfg.Settings
 	opened := metrics.GetOrRegisterCounter("upstream_connections_opened", e.metrics)
 	e.pool = nutmegconn.NewPool(nutmegconn.PoolConfig{
-		Dial: e.dialer.Dial, OnOpen: func() { opened.Inc(1) },
+		Dial: e.reach.dial, OnOpen: func() { opened.Inc(1) },
 	})
 	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64()})
 	e.retries = nutmegretry.NewBudget(nutmegretry.Config{
@@ -240,14 +242,14 @@
 	e.stopFollowing = cancel
 	e.configFollower.Start(ctx)
 	e.upstreamFollower.Start(ctx)
-	e.roster.Start(ctx, e.traffic.Listener(peers))
+	e.roster.Start(ctx, peers)
 	go e.fetchConfigLoop(ctx)
 	go e.overload.loop(ctx)
 	go e.suspectStore.run(ctx)
 	go e.rateInformer.run(ctx)
 	e.pool.Start()
 	e.readiness = e.serve(readiness, e.readinessHandler())
-	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle))
+	e.callers = e.serve(e.callerTraffic.Listener(callers), http.HandlerFunc(e.handle))
 	e.serveMetrics()
 	e.event("start").WithFields(logrus.Fields{"callers": l.Callers, "store": e.cfg.Settings.Store.Address}).Info("instance started")
 	return nil
--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -92,6 +92,9 @@
 		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonNoUpstream, Detail: "route " + string(route.Name) + " has no service"}
 	}
 	call.Engine = config.Services[call.Service].Engine
+	if refusal := e.reach.check(); refusal != nil {
+		return nil, refusal
+	}
 	return call, e.checkDrain(call)
 }
 
--- a/internal/instance/nutmegentry/overload.go
+++ b/internal/instance/nutmegentry/overload.go
@@ -20,6 +20,8 @@
 	// since is the start of the overload in nanoseconds of uptime, or 0 if there is
 	// none.
 	since atomic.Int64
+	// loaded says that an overload goes on although no new callers come.
+	loaded atomic.Bool
 }
 
 // active reports whether new callers should use another instance.
@@ -29,10 +31,11 @@
 
 // closesConnections reports whether callers with open connections should also use
 // another instance. By then, the load balancer sends their new connections
-// elsewhere.
+// elsewhere. Connections stay open if that is enough: each one closed is a new one
+// for the next instance.
 func (o *overload) closesConnections() bool {
 	since := time.Duration(o.since.Load())
-	return since != 0 && o.entry.uptime()-since > balancerDelay
+	return since != 0 && o.entry.uptime()-since > balancerDelay && o.loaded.Load()
 }
 
 // loop samples the lag of its own timer and the link usage until ctx ends.
@@ -41,7 +44,7 @@
 	detector := nutmegoverload.New()
 	timer := time.NewTimer(nutmegoverload.SampleInterval)
 	defer timer.Stop()
-	link := linkMeter{traffic: o.entry.traffic, bandwidth: o.entry.cfg.Settings.Limits.LinkMbps * 1e6 / 8}
+	callers := linkMeter{traffic: o.entry.callerTraffic, bandwidth: o.entry.linkBandwidth()}
 	for {
 		due := o.entry.uptime() + nutmegoverload.SampleInterval
 		timer.Reset(nutmegoverload.SampleInterval)
@@ -51,19 +54,22 @@
 		case <-timer.C:
 		}
 		now := o.entry.uptime()
-		if detector.Sample(nutmegoverload.Sample{Lag: now - due, Link: link.usage(now), At: now}) {
+		sample := nutmegoverload.Sample{Lag: now - due, Callers: callers.usage(now), Weak: o.entry.roster.IsWeak(), At: now}
+		if detector.Sample(sample) {
 			o.changed(detector, now)
 		}
+		o.loaded.Store(detector.Loaded())
 	}
 }
 
 func (o *overload) changed(d *nutmegoverload.Detector, now time.Duration) {
 	metrics.GetOrRegisterCounter("overload_changes", o.entry.metrics).Inc(1)
 	fields := logrus.Fields{
-		"lag_ms": d.Lag().Milliseconds(), "link_percent": int64(100 * d.Link()), "running": o.entry.running.Load(),
+		"lag_ms": d.Lag().Milliseconds(), "callers_link_percent": int64(100 * d.Callers()), "running": o.entry.running.Load(),
 	}
 	if d.Overloaded() {
 		o.since.Store(int64(now))
+		fields["least_ms"] = d.Duration().Milliseconds()
 		o.entry.event("overloaded").WithFields(fields).Warn("processor or link is overloaded; not ready for new callers")
 		return
 	}
@@ -92,3 +98,8 @@
 	}
 	return float64(bytes) / span / m.bandwidth
 }
+
+// linkBandwidth returns the bandwidth of the link in bytes per second and direction.
+func (e *Entry) linkBandwidth() float64 {
+	return e.cfg.Settings.Limits.LinkMbps * 1e6 / 8
+}
--- a/internal/instance/nutmegoverload/detector.go
+++ b/internal/instance/nutmegoverload/detector.go
@@ -1,7 +1,13 @@
-// Package nutmegoverload detects when an instance is short of processor time or
-// bandwidth. Timers of a process without processor time fire late, and packets
-// queue on a link that is nearly full. An overloaded instance should take no new
-// callers until the overload is over.
+// Package nutmegoverload detects when the callers of an instance need more processor
+// time or bandwidth than it has, and decides for how long it takes no new callers.
+// Timers of a process without processor time fire late, and packets queue on a link
+// that is nearly full.
+//
+// A load balancer that hashes callers by workspace sends all of one workspace's new
+// connections to one instance. When that instance leaves, the next one gets them all.
+// An instance with a slow link therefore stays away for longer where its failure
+// domain has instances with faster links: the workspace moves on until it reaches one
+// of these, and does not return to the first while it is as busy.
 //
 // The package has no clock and starts no goroutines: callers pass samples with
 // their times.
@@ -9,47 +15,30 @@
 // # Usage
 //
 //	d := nutmegoverload.New()
-//	changed := d.Sample(nutmegoverload.Sample{Lag: lag, Link: share, At: now}) // every SampleInterval
+//	changed := d.Sample(nutmegoverload.Sample{Lag: lag, Callers: share, At: now}) // every SampleInterval
 //	if d.Overloaded() { ... }
 package nutmegoverload
 
 import "time"
 
-const (
-	// SampleInterval is the interval at which to call Sample.
-	SampleInterval = 50 * time.Millisecond
-
-	lagWeight = 0.2                   // smoothing factor
-	enterLag  = 60 * time.Millisecond // smoothed; stream events may be late by twice that
-	exitLag   = 15 * time.Millisecond // smoothed
-	// maxLag caps a single sample, so that the effect of a machine-wide pause fades
-	// quickly.
-	maxLag = 400 * time.Millisecond
-
-	linkWeight = 0.05 // smoothing factor; averages over about a second
-	// enterLink is the smoothed link usage at which bursts begin to queue.
-	enterLink = 0.6
-	exitLink  = 0.35 // smoothed
-
-	// minDuration is the minimum duration of an overload; callers move to other
-	// instances within this time.
-	minDuration = 3 * time.Second
-)
-
 // Sample is a measurement since the previous sample.
 type Sample struct {
-	Lag  time.Duration // delay by which a timer fired late
-	Link float64       // used share of the link's bandwidth in the busier direction
-	At   time.Duration // monotonic
+	Lag time.Duration // delay by which a timer fired late
+	// Callers is the share of the link's bandwidth that callers' connections use, in
+	// the busier direction. Other traffic does not end when callers move away.
+	Callers float64
+	Weak    bool          // the failure domain has instances with much faster links
+	At      time.Duration // monotonic
 }
 
 // Detector detects overload from the samples of one process. It is not safe for
 // concurrent use.
 type Detector struct {
 	lag        float64 // smoothed, in nanoseconds
-	link       float64 // smoothed
+	callers    float64 // smoothed
 	overloaded bool
 	changedAt  time.Duration // of the latest change
+	duration   time.Duration // least duration of the latest overload
 }
 
 // New returns a detector that reports no overload.
@@ -60,11 +49,12 @@
 // Sample adds a sample and reports whether the overload state has changed.
 func (d *Detector) Sample(s Sample) bool {
 	d.lag += lagWeight * (float64(min(max(s.Lag, 0), maxLag)) - d.lag)
-	d.link += linkWeight * (s.Link - d.link)
+	d.callers += callersWeight * (s.Callers - d.callers)
 	switch {
-	case !d.overloaded && (d.lag > float64(enterLag) || d.link > enterLink):
+	case !d.overloaded && d.aboveEnter():
+		d.duration = d.nextDuration(s)
 		d.overloaded = true
-	case d.overloaded && d.lag < float64(exitLag) && d.link < exitLink && s.At-d.changedAt >= minDuration:
+	case d.overloaded && !d.Loaded() && s.At-d.changedAt >= d.duration:
 		d.overloaded = false
 	default:
 		return false
@@ -73,17 +63,44 @@
 	return true
 }
 
-// Overloaded reports whether the instance is short of processor time or bandwidth.
+// nextDuration returns the least duration of an overload that begins now. It doubles
+// if the load has come back soon after the previous overload.
+func (d *Detector) nextDuration(s Sample) time.Duration {
+	if !s.Weak || d.callers <= enterCallers {
+		return minDuration
+	}
+	if d.duration >= weakDuration && s.At-d.changedAt < d.duration {
+		return min(2*d.duration, maxDuration)
+	}
+	return weakDuration
+}
+
+func (d *Detector) aboveEnter() bool {
+	return d.lag > float64(enterLag) || d.callers > enterCallers
+}
+
+// Overloaded reports whether the instance should take no new callers.
 func (d *Detector) Overloaded() bool {
 	return d.overloaded
 }
 
+// Loaded reports whether the instance is still short of processor time or bandwidth
+// during an overload.
+func (d *Detector) Loaded() bool {
+	return d.overloaded && (d.lag >= float64(exitLag) || d.callers >= exitCallers)
+}
+
 // Lag returns the smoothed timer lag.
 func (d *Detector) Lag() time.Duration {
 	return time.Duration(d.lag)
 }
 
-// Link returns the smoothed link usage.
-func (d *Detector) Link() float64 {
-	return d.link
+// Callers returns the smoothed share of the link that callers use.
+func (d *Detector) Callers() float64 {
+	return d.callers
+}
+
+// Duration returns the least duration of the latest overload.
+func (d *Detector) Duration() time.Duration {
+	return d.duration
 }
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -130,6 +130,7 @@
 	ReasonCallerLeft         Reason = "caller_left"
 	ReasonOutOfMemory        Reason = "out_of_memory"
 	ReasonInstanceStopping   Reason = "instance_stops"
+	ReasonInstanceCutOff     Reason = "instance_cut_off"
 	ReasonAnswered           Reason = "answered"
 	ReasonResponseIncomplete Reason = "answer_broken_off"
 	ReasonCallerStalled      Reason = "caller_not_reading"
