--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -47,6 +47,10 @@
 	requestLineBytes = 1 << 10     // of a head beyond the configuration's limit, which need not count the request line
 	networkDelay     = time.Second // of bytes that a caller has sent in time
 
+	// cutOffRetryAfter is the least wait of callers that should try another instance. As
+	// much again is random, so that they do not come there together.
+	cutOffRetryAfter = 30 * time.Millisecond
+
 	storeOutageAfter = 2800 * time.Millisecond // an outage starts this long after the last successful response
 	// budgetsPerShard is the number of budgets per store object. More budgets make
 	// commits larger and conflicts likelier; fewer require more commits.
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -110,9 +110,10 @@
 	drain         atomic.Pointer[drain]                  // nil until a stop is requested
 	loggedAmounts map[nutmegid.Workspace]nutmegid.Tokens // prepaid amounts of the latest configuration, for logging
 	overload      *overload
-	traffic       *nutmegconn.Traffic
-	running       atomic.Int64 // requests in progress
-	bodies        *bodyMemory  // of requests in progress
+	reach         *reach
+	callerTraffic *nutmegconn.Traffic // of callers' connections
+	running       atomic.Int64        // requests in progress
+	bodies        *bodyMemory         // of requests in progress
 	limits        *callerLimits
 	abortRequests context.CancelCauseFunc
 	requestsCtx   context.Context // canceled to abort running requests
@@ -138,8 +139,9 @@
 	e.requestsCtx, e.abortRequests = context.WithCancelCause(context.Background())
 	e.bodies = &bodyMemory{limit: int64(bodyMemoryShare * float64(cfg.Settings.Limits.MemoryMB) * (1 << 20))}
 	e.limits = newCallerLimits(e)
-	e.traffic = &nutmegconn.Traffic{}
-	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{Traffic: e.traffic})
+	e.callerTraffic = &nutmegconn.Traffic{}
+	e.dialer = nutmegconn.NewDialer(nutmegconn.DialerConfig{})
+	e.reach = &reach{entry: e}
 	e.overload = &overload{entry: e, done: make(chan struct{})}
 	e.view.SetRegions(cfg.Settings.Regions)
 	e.buildSuspects()
@@ -156,7 +158,7 @@
 		BaseURL: "http://" + s.Store.Address,
 		Dialect: e.cfg.Platform.Dialect,
 		HTTP: &http.Client{Transport: &http.Transport{
-			DialContext:         e.dialer.Dial,
+			DialContext:         e.reach.dial,
 			MaxIdleConnsPerHost: storeConnections,
 			IdleConnTimeout:     storeIdleTimeout,
 			// The default is too much for an instance with little memory.
@@ -180,7 +182,7 @@
 		Store: e.client, Source: e.upstreamFeed, Kind: e.cfg.Platform.UpstreamKind, Decode: e.cfg.Platform.DecodeUpstream, View: e.view, OnChange: e.upstreamChanged,
 	})
 	e.roster = nutmegroster.New(nutmegroster.Config{
-		Client: e.client, Writer: e.writer, Dial: e.dialer.Dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
+		Client: e.client, Writer: e.writer, Dial: e.reach.dial, Log: e.log, Metrics: e.metrics, OnChange: e.instancesChanged,
 		Budgets: budgetServer{e}, Reservations: reservationServer{e}, Permits: permitServer{e}, HomesPerDomain: s.Budget.HomesPerDomain, HomeDomains: s.Budget.HomeDomains, ConfigSource: configSource{e}, ChangeFeed: changeFeed{e}, OnPanic: e.peerCallPanicked, Shards: e.budgetShards, OnShards: e.peersStarted, Items: e.items(),
 		Self: nutmegview.Instance{
 			Name: s.Instance.Name, Incarnation: e.incarnation, FailureDomain: s.Instance.FailureDomain, PeerAddress: s.Listen.Peers,
@@ -199,7 +201,7 @@
 	s := e.cfg.Settings
 	opened := metrics.GetOrRegisterCounter("upstream_connections_opened", e.metrics)
 	e.pool = nutmegconn.NewPool(nutmegconn.PoolConfig{
-		Dial: e.dialer.Dial, OnOpen: func() { opened.Inc(1) },
+		Dial: e.reach.dial, OnOpen: func() { opened.Inc(1) },
 	})
 	e.placer = nutmegplace.New(nutmegplace.Config{
 		FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64(), Locations: e.view, Warmup: e.warmup,
@@ -262,7 +264,7 @@
 	go e.rateInformer.run(ctx)
 	e.pool.Start()
 	e.readiness = e.serve(readiness, e.readinessHandler(), e.probeLimits())
-	e.callers = e.serve(e.traffic.Listener(callers), http.HandlerFunc(e.handle), e.limits.serverLimits())
+	e.callers = e.serve(e.callerTraffic.Listener(callers), http.HandlerFunc(e.handle), e.limits.serverLimits())
 	e.serveMetrics()
 	e.event("start").WithFields(logrus.Fields{"callers": l.Callers, "store": e.cfg.Settings.Store.Address}).Info("instance started")
 	return nil
--- a/internal/instance/nutmegentry/limits.go
+++ b/internal/instance/nutmegentry/limits.go
@@ -80,7 +80,7 @@
 // limitPeers returns a listener that bounds what connections from other instances cost.
 func (e *Entry) limitPeers(l net.Listener) net.Listener {
 	account := nutmegaccount.New(peerBounds(e.cfg.Settings.Limits))
-	return nutmegserve.LimitListener(e.traffic.Listener(l), &nutmegserve.Limits{Account: account, Elapsed: e.uptime})
+	return nutmegserve.LimitListener(l, &nutmegserve.Limits{Account: account, Elapsed: e.uptime})
 }
 
 // headLimits returns the limits of the configuration in force.
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -144,6 +144,7 @@
 	ReasonTooManyConnections Reason = "too_many_connections"
 	ReasonHeadTooLarge       Reason = "head_too_large"
 	ReasonInstanceStopping   Reason = "instance_stops"
+	ReasonInstanceCutOff     Reason = "instance_cut_off"
 	ReasonAnswered           Reason = "answered"
 	ReasonResponseIncomplete Reason = "answer_broken_off"
 	ReasonCallerStalled      Reason = "caller_not_reading"
