admission: what there is no room for is refused by workspace and urgency

Cause: instances place a request or find all engines full; urgency and workspace play no part in that, and nobody knows how much room a service has: one of 71 instances hears from an engine every 10 s or so.

Change: nutmegadmit pools the load reports of a service's engines. Beyond one request per slot it refuses a share of the demand that settles: first what large workspaces ask for beyond an even share, then the less urgent requests of all. The relay asks it before it reserves tokens, for engines whose slots are configured. Refusals are "overloaded", not run, with a Retry-After from the time at an engine; log lines and counters name the reason.

--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegroster"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegadmit"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
@@ -193,14 +194,16 @@
 		Dial: e.dialer.Dial, OnOpen: func() { opened.Inc(1) },
 	})
 	e.placer = nutmegplace.New(nutmegplace.Config{FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64()})
+	admission := nutmegadmit.New(nutmegadmit.Config{Seed: rand.Uint64()})
 	e.retries = nutmegretry.NewBudget(nutmegretry.Config{
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
 	e.relay = nutmegrelay.New(nutmegrelay.Config{
-		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, Notices: upstreamNotices{e},
+		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, Notices: upstreamNotices{e}, Admission: admission,
 		Instances: e.roster.Count, MayBegin: e.checkDrain, OnDecision: e.relayDecided, Elapsed: e.uptime,
 	})
 	e.view.OnConfig(e.placer.SetConfig)
+	e.view.OnConfig(admission.SetConfig)
 	e.view.OnConfig(e.configApplied)
 	e.view.OnUpstreams(e.placer.SetUpstreams)
 }
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -131,6 +132,10 @@
 	if d.Detail != "" {
 		entry = entry.WithField("detail", d.Detail)
 	}
+	if d.Kind == nutmegrelay.DecisionNotAdmitted {
+		e.count("requests_not_admitted_" + string(d.Shortage) + "_priority_" + strconv.Itoa(c.Priority))
+		entry = entry.WithFields(logrus.Fields{"workspace": c.Workspace, "priority": c.Priority, "shortage": d.Shortage})
+	}
 	if r := d.Record; r != nil {
 		e.count("attempts_" + string(r.Conclusion))
 		entry = entry.WithFields(logrus.Fields{
--- a/internal/traffic/nutmegrelay/attempt.go
+++ b/internal/traffic/nutmegrelay/attempt.go
@@ -45,6 +45,7 @@
 	}
 	if info.Load != nil {
 		cfg.Placer.ReportLoad(p, *info.Load, cfg.Elapsed())
+		e.recordLoad(*info.Load)
 	}
 	if info.NotRun || info.Misdirected {
 		return e.handleRefusal(p, resp, info)
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -80,7 +80,9 @@
 		if retry {
 			e.logDecision(e.retryKind(), placement, nil)
 		}
+		began := e.relay.cfg.Elapsed()
 		result, err := e.attempt(ctx, placement)
+		e.recordHold(result, began)
 		if result == attemptDone {
 			return nil
 		}
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegadmit"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
@@ -153,6 +154,8 @@
 	Begun  bool
 	// Record holds the details of a DecisionFailed; nil otherwise.
 	Record *AttemptRecord
+	// Shortage is the reason of a DecisionNotAdmitted; empty otherwise.
+	Shortage nutmegadmit.Reason
 }
 
 // DecisionKind is the kind of a Decision.
@@ -164,6 +167,7 @@
 	DecisionResume           DecisionKind = "resumed"
 	DecisionFailed           DecisionKind = "attempt_failed"
 	DecisionNotPermitted     DecisionKind = "not_permitted" // by what the upstream has stated
+	DecisionNotAdmitted      DecisionKind = "not_admitted"  // for lack of room at the engines
 	DecisionRetryBudgetSpent DecisionKind = "retry_budget_spent"
 	DecisionUpstreamEnded    DecisionKind = "upstream_ended" // while the request may have run there
 )
@@ -178,6 +182,7 @@
 	View      *nutmegview.View
 	Suspects  Suspects   // of this instance alone when nil
 	Notices   Notices    // none are heeded when nil
+	Admission Admission  // all calls are admitted when nil
 	Instances func() int // number of instances that share the retry budget; 1 when nil
 	// MayBegin returns a refusal for a call that must not begin to run now. It is
 	// asked before each attempt of a call that has not run; all may begin when nil.
@@ -211,6 +216,9 @@
 	if cfg.Notices == nil {
 		cfg.Notices = noNotices{}
 	}
+	if cfg.Admission == nil {
+		cfg.Admission = noAdmission{}
+	}
 	if cfg.MayBegin == nil {
 		cfg.MayBegin = func(*nutmegcall.Call) *nutmegcall.Refusal { return nil }
 	}
@@ -237,6 +245,9 @@
 	if refusal := e.checkHold(); refusal != nil {
 		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
 	}
+	if refusal := r.admit(call); refusal != nil {
+		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
+	}
 	if call.Metered && call.Prompt.MaxTokens() > 0 {
 		reservation, refusal := r.cfg.Budget.Reserve(ctx, call)
 		if refusal != nil {
