admission: what would be late is a matter of the request, not of its priority

Cause: workspaces may set the priority of all their requests, so that kinds with unlike latency targets share one; the target of the newest request stood for all of them.

Change: a request that would probably wait for longer than its own target is admitted the less often the longer that is. The test of kinds with one priority.

--- a/internal/traffic/nutmegadmit/controller.go
+++ b/internal/traffic/nutmegadmit/controller.go
@@ -31,7 +31,7 @@
 const (
 	ReasonPriority  Reason = "priority"  // more urgent requests take the room
 	ReasonWorkspace Reason = "workspace" // its workspace asks for more than its share
-	ReasonLate      Reason = "late"      // it would begin after its latency target
+	ReasonLate      Reason = "late"      // it would probably begin after its latency target
 )
 
 // Decision is the answer to the question whether a request may be sent.
@@ -96,7 +96,6 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.service(r.Service)
-	s.targets[r.Priority] = r.LatencyTarget
 	weighed := s.demand.add(r, now)
 	d := s.decide(r, weighed, now)
 	d.Admitted = d.Share == 1 || c.random.Float64() < d.Share
--- a/internal/traffic/nutmegadmit/demand.go
+++ b/internal/traffic/nutmegadmit/demand.go
@@ -49,7 +49,7 @@
 // be refused, those of less urgent priorities first.
 func (t *tally) share(priority int, refused float64) float64 {
 	refused -= t.less(priority) * (1 - minAdmitted)
-	return share(1 - max(refused, 0)/t.byPriority[priority])
+	return clampShare(1 - max(refused, 0)/t.byPriority[priority])
 }
 
 // scale multiplies all sums and drops the priorities that have become negligible.
--- a/internal/traffic/nutmegadmit/doc.go
+++ b/internal/traffic/nutmegadmit/doc.go
@@ -9,10 +9,10 @@
 //
 // Workspaces that ask for much more than an even share of the tokens are cut down first,
 // and of each its less urgent requests. What must be refused beyond that is taken
-// from all, less urgent requests first; more is, if requests of some priority would
-// wait for longer than their latency target. Some of each priority and workspace
-// are always admitted. Nothing waits here: admitted requests wait at their engines,
-// which admit more urgent ones first.
+// from all, less urgent requests first. Requests that would probably wait for longer than
+// their latency target are refused as well, the more the longer that is. Some of each
+// priority and workspace are always admitted. Nothing waits here: admitted requests
+// wait at their engines, which admit more urgent ones first.
 //
 // The package has no clock, network access or goroutines; callers pass the monotonic
 // time since an arbitrary start.
--- a/internal/traffic/nutmegadmit/load_test.go
+++ b/internal/traffic/nutmegadmit/load_test.go
@@ -40,6 +40,33 @@
 	}
 }
 
+// TestKindsOfOnePriority has requests of one priority, but with unlike latency targets,
+// wait at full engines: those that would be late are refused first.
+func TestKindsOfOnePriority(t *testing.T) {
+	c := New(Config{Seed: 1})
+	now := time.Second
+	chats, reviews := outcome{}, outcome{}
+	decide := func(o *outcome, target time.Duration) {
+		o.asked++
+		if c.Decide(Request{Service: modelService, Tokens: 1000, LatencyTarget: target}, now).Admitted {
+			o.admitted++
+		}
+	}
+	for range 200 {
+		now += modelStep
+		c.RecordReport(modelService, Report{Running: modelSlots, Waiting: modelSlots * 6 / 10, Slots: modelSlots}, now)
+		decide(&chats, 250*time.Millisecond)
+		decide(&reviews, 1200*time.Millisecond)
+	}
+	t.Logf("%.2f of the chats and %.2f of the reviews are admitted", chats.served(), reviews.served())
+	if chats.served() > 0.6*reviews.served() {
+		t.Error("requests that would be late are admitted about as often as others")
+	}
+	if chats.admitted == 0 {
+		t.Error("none of the requests that would be late is admitted")
+	}
+}
+
 // checkOrder checks that no kind is served more often than a more urgent one, and that
 // some of each kind are served all along.
 func checkOrder(t *testing.T, f *modelFleet) {
--- a/internal/traffic/nutmegadmit/service.go
+++ b/internal/traffic/nutmegadmit/service.go
@@ -6,15 +6,14 @@
 type service struct {
 	reports  reportSum
 	demand   *demand
-	targets  map[int]time.Duration // latency target of the newest request, by priority
-	holdTime time.Duration         // mean time of a request at its engine
+	holdTime time.Duration // mean time of a request at its engine
 
 	settled   float64 // share of the demand that there has been no room for, at length
 	decidedAt time.Duration
 }
 
 func newService() *service {
-	return &service{demand: newDemand(), targets: make(map[int]time.Duration), holdTime: initialHoldTime}
+	return &service{demand: newDemand(), holdTime: initialHoldTime}
 }
 
 // excess returns the share of the demand that there is no room for. It follows the load
@@ -32,28 +31,19 @@
 	if over < 0 {
 		rate = releaseRate
 	}
-	s.settled = share(s.settled + rate*over*passed.Seconds())
-	return share(s.settled + promptShare*over)
+	s.settled = clampShare(s.settled + rate*over*passed.Seconds())
+	return clampShare(s.settled + promptShare*over)
 }
 
-// share limits x to the range from 0 to 1.
-func share(x float64) float64 {
+// clampShare limits x to the range from 0 to 1.
+func clampShare(x float64) float64 {
 	return min(max(x, 0), 1)
 }
 
-// lateness returns the share of the demand to refuse so that requests of no priority
-// wait for longer than their latency target.
-func (s *service) lateness(room Room) float64 {
-	late := 0.0
-	for priority := range s.demand.all.byPriority {
-		target := float64(s.targets[priority])
-		ahead := 1 - s.demand.all.less(priority)/s.demand.all.total // engines admit less urgent ones later
-		wait := room.Waiting * ahead * float64(s.holdTime)
-		if target > 0 && wait > target {
-			late = max(late, 1-target/wait)
-		}
-	}
-	return late
+// wait estimates for how long a request waits at its engine.
+func (s *service) wait(r Request, room Room) time.Duration {
+	ahead := 1 - s.demand.all.less(r.Priority)/s.demand.all.total // engines admit less urgent ones later
+	return time.Duration(room.Waiting * ahead * float64(s.holdTime))
 }
 
 // decide returns the share of requests such as r that is admitted now, and the reason
@@ -65,19 +55,19 @@
 		s.demand.debt = 0
 		return d
 	}
-	late := s.lateness(d.Room)
-	missing := max(excess, late)
-	s.demand.debt += missing * weighed
+	s.demand.debt += excess * weighed
 	var large bool
-	d.Share, large = s.demand.share(r, share(missing+s.demand.debt/s.demand.all.total))
+	d.Share, large = s.demand.share(r, clampShare(excess+s.demand.debt/s.demand.all.total))
 	switch {
 	case d.Share == 1:
 	case large:
 		d.Reason = ReasonWorkspace
-	case late > excess:
-		d.Reason = ReasonLate
 	default:
 		d.Reason = ReasonPriority
 	}
+	if wait := s.wait(r, d.Room); wait > r.LatencyTarget && r.LatencyTarget > 0 {
+		d.Share = max(d.Share*float64(r.LatencyTarget)/float64(wait), minAdmitted)
+		d.Reason = ReasonLate
+	}
 	return d
 }
