admission: the time at an engine is called service time

Cause: "hold" is the word for suspects and rate limits.

Measured: the tests of nutmegadmit and nutmegrelay.

--- a/internal/traffic/nutmegadmit/controller.go
+++ b/internal/traffic/nutmegadmit/controller.go
@@ -83,12 +83,12 @@
 	c.service(name).reports.add(r, now)
 }
 
-// RecordHold adds the time for which a request has been at an engine.
-func (c *Controller) RecordHold(name nutmegview.Service, held time.Duration) {
+// RecordServiceTime adds the time for which a request has been at an engine.
+func (c *Controller) RecordServiceTime(name nutmegview.Service, took time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := c.service(name)
-	s.holdTime += time.Duration(holdTimeWeight * float64(held-s.holdTime))
+	s.serviceTime += time.Duration(serviceTimeWeight * float64(took-s.serviceTime))
 }
 
 // Decide decides whether a request may be sent now. Each request is to be decided once.
@@ -101,7 +101,7 @@
 	d.Admitted = d.Share == 1 || c.random.Float64() < d.Share
 	if !d.Admitted {
 		s.demand.debt -= weighed
-		d.RetryAfter = c.retryAfter(d.Room, s.holdTime)
+		d.RetryAfter = c.retryAfter(d.Room, s.serviceTime)
 	}
 	return d
 }
@@ -118,8 +118,8 @@
 
 // retryAfter returns when a refused caller is to come back: after the engines have ended
 // the requests that wait, and one more for each slot, spread over as long again.
-func (c *Controller) retryAfter(room Room, holdTime time.Duration) time.Duration {
-	wait := time.Duration((1 + room.Waiting) * float64(holdTime))
+func (c *Controller) retryAfter(room Room, serviceTime time.Duration) time.Duration {
+	wait := time.Duration((1 + room.Waiting) * float64(serviceTime))
 	wait = min(max(wait, minRetryAfter), maxRetryAfter/2)
 	return wait + time.Duration(c.random.Int64N(int64(wait)))
 }
--- a/internal/traffic/nutmegadmit/defaults.go
+++ b/internal/traffic/nutmegadmit/defaults.go
@@ -25,8 +25,8 @@
 	// that is admitted however little room there is.
 	minAdmitted = 0.1
 
-	initialHoldTime = time.Second // for which a request is at its engine, until some have ended
-	holdTimeWeight  = 0.05        // of one request in the mean hold time
+	initialServiceTime = time.Second // for which a request is at its engine, until some have ended
+	serviceTimeWeight  = 0.05        // of one request in the mean service time
 
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
--- a/internal/traffic/nutmegadmit/doc.go
+++ b/internal/traffic/nutmegadmit/doc.go
@@ -24,5 +24,5 @@
 //	if d := c.Decide(request, now); !d.Admitted {
 //		// refuse the request, which has not run, for d.RetryAfter
 //	}
-//	c.RecordHold("drafter", held) // when an admitted request has ended
+//	c.RecordServiceTime("drafter", took) // when an admitted request has ended
 package nutmegadmit
--- a/internal/traffic/nutmegadmit/model_test.go
+++ b/internal/traffic/nutmegadmit/model_test.go
@@ -25,7 +25,7 @@
 	workspace func(*rand.Rand) nutmegid.Workspace
 	tokens    int64
 	target    time.Duration
-	hold      time.Duration // at an engine
+	service   time.Duration // at an engine
 }
 
 // outcome counts what became of the requests of one kind or workspace.
@@ -132,7 +132,7 @@
 			if j.ends > f.now {
 				return false
 			}
-			f.controllers[j.instance].RecordHold(modelService, f.now-j.arrived)
+			f.controllers[j.instance].RecordServiceTime(modelService, f.now-j.arrived)
 			return true
 		})
 		if len(e.waiting) > 1 {
@@ -150,7 +150,7 @@
 }
 
 func (f *modelFleet) begin(e *modelEngine, j job) {
-	j.ends = f.now + j.kind.hold
+	j.ends = f.now + j.kind.service
 	if f.now-j.arrived <= j.kind.target {
 		j.by.inTime++
 	}
@@ -216,9 +216,9 @@
 func modelKinds(slots int, share float64) []*kind {
 	unit := share * float64(slots)
 	return []*kind{
-		{name: "chat", priority: 0, perSecond: 0.45 * unit, workspace: workspaces, tokens: 1100, target: 250 * time.Millisecond, hold: time.Second},
-		{name: "tagging", priority: 1, perSecond: 0.5 * unit, workspace: workspaces, tokens: 2400, target: 400 * time.Millisecond, hold: 200 * time.Millisecond},
-		{name: "review", priority: 2, perSecond: 0.225 * unit, workspace: workspaces, tokens: 12_400, target: 1200 * time.Millisecond, hold: 2 * time.Second},
+		{name: "chat", priority: 0, perSecond: 0.45 * unit, workspace: workspaces, tokens: 1100, target: 250 * time.Millisecond, service: time.Second},
+		{name: "tagging", priority: 1, perSecond: 0.5 * unit, workspace: workspaces, tokens: 2400, target: 400 * time.Millisecond, service: 200 * time.Millisecond},
+		{name: "review", priority: 2, perSecond: 0.225 * unit, workspace: workspaces, tokens: 12_400, target: 1200 * time.Millisecond, service: 2 * time.Second},
 	}
 }
 
--- a/internal/traffic/nutmegadmit/service.go
+++ b/internal/traffic/nutmegadmit/service.go
@@ -4,16 +4,16 @@
 
 // service is what an instance knows of one service.
 type service struct {
-	reports  reportSum
-	demand   *demand
-	holdTime time.Duration // mean time of a request at its engine
+	reports     reportSum
+	demand      *demand
+	serviceTime time.Duration // mean time of a request at its engine
 
 	settled   float64 // share of the demand that there has been no room for, at length
 	decidedAt time.Duration
 }
 
 func newService() *service {
-	return &service{demand: newDemand(), holdTime: initialHoldTime}
+	return &service{demand: newDemand(), serviceTime: initialServiceTime}
 }
 
 // excess returns the share of the demand that there is no room for. It follows the load
@@ -43,7 +43,7 @@
 // wait estimates for how long a request waits at its engine.
 func (s *service) wait(r Request, room Room) time.Duration {
 	ahead := 1 - s.demand.all.less(r.Priority)/s.demand.all.total // engines admit less urgent ones later
-	return time.Duration(room.Waiting * ahead * float64(s.holdTime))
+	return time.Duration(room.Waiting * ahead * float64(s.serviceTime))
 }
 
 // decide returns the share of requests such as r that is admitted now, and the reason
--- a/internal/traffic/nutmegrelay/admission.go
+++ b/internal/traffic/nutmegrelay/admission.go
@@ -16,8 +16,8 @@
 	Decide(r nutmegadmit.Request, now time.Duration) nutmegadmit.Decision
 	// RecordReport adds the load that an engine has stated.
 	RecordReport(s nutmegview.Service, r nutmegadmit.Report, now time.Duration)
-	// RecordHold adds the time for which a request has been at an engine.
-	RecordHold(s nutmegview.Service, held time.Duration)
+	// RecordServiceTime adds the time for which a request has been at an engine.
+	RecordServiceTime(s nutmegview.Service, took time.Duration)
 }
 
 // noAdmission admits all calls.
@@ -31,8 +31,8 @@
 // RecordReport implements Admission.
 func (noAdmission) RecordReport(nutmegview.Service, nutmegadmit.Report, time.Duration) {}
 
-// RecordHold implements Admission.
-func (noAdmission) RecordHold(nutmegview.Service, time.Duration) {}
+// RecordServiceTime implements Admission.
+func (noAdmission) RecordServiceTime(nutmegview.Service, time.Duration) {}
 
 // needsAdmission reports whether a call goes to engines whose slots are known.
 func needsAdmission(call *nutmegcall.Call) bool {
@@ -65,10 +65,10 @@
 	e.relay.cfg.Admission.RecordReport(e.call.Service, report, e.relay.cfg.Elapsed())
 }
 
-// recordHold passes the time of an attempt that an engine has answered to the admission.
-func (e *exchange) recordHold(result attemptResult, began time.Duration) {
+// recordServiceTime passes the time of an attempt that an engine has answered to the admission.
+func (e *exchange) recordServiceTime(result attemptResult, began time.Duration) {
 	if result != attemptDone || e.outcome.Reason != nutmegcall.ReasonAnswered || !needsAdmission(e.call) {
 		return
 	}
-	e.relay.cfg.Admission.RecordHold(e.call.Service, e.relay.cfg.Elapsed()-began)
+	e.relay.cfg.Admission.RecordServiceTime(e.call.Service, e.relay.cfg.Elapsed()-began)
 }
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -82,7 +82,7 @@
 		}
 		began := e.relay.cfg.Elapsed()
 		result, err := e.attempt(ctx, placement)
-		e.recordHold(result, began)
+		e.recordServiceTime(result, began)
 		if result == attemptDone {
 			return nil
 		}
