--- a/internal/traffic/nutmegplace/candidate.go
+++ b/internal/traffic/nutmegplace/candidate.go
@@ -30,8 +30,6 @@
 	reportedAt      time.Duration
 	slowdown        float64 // of the last report, within bounds; 1 if it stated none
 
-	speed speed // of an engine
-
 	saidLeaving      bool          // the process has said that it leaves
 	heldUntil        time.Duration // no request may be sent before, as the upstream has stated
 	avoidUntil       time.Duration
--- a/internal/traffic/nutmegplace/defaults.go
+++ b/internal/traffic/nutmegplace/defaults.go
@@ -30,17 +30,6 @@
 	randomCandidates   = 2    // random engines compared with those that may have the prefix cached
 	preferredEngines   = 2    // engines that rendezvous hashing assigns to a prefix
 
-	minGaps        = 8                // events after which the speed of an engine is known
-	minGapWeight   = 0.05             // of one gap between events in the mean gap of an engine
-	minKnownSpeeds = 4                // engines with known speed below which none counts
-	speedHalfLife  = 10 * time.Second // after which a learned speed counts half
-	// Bounds of a learned slowness.
-	minSlowness = 0.3
-	maxSlowness = 4.0
-	// outputDelayMs is what a token that may be generated adds to the score: the slower
-	// the engine, the later a long stream ends.
-	outputDelayMs = 0.25
-
 	prefixTTL     = 9 * time.Second // since the last use of a prefix
 	maxPrefixes   = 20_000          // prefixes whose location is remembered
 	remotePenalty = 0.1             // requests added to the load of an upstream in another failure domain
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -44,9 +44,8 @@
 	Upstream nutmegview.Upstream
 
 	candidate *candidate
-	tokens    int64         // counted in the candidate's pending tokens until started
-	eventAt   time.Duration // of the last event; zero before the first
-	started   bool          // the first event has arrived or the request has ended
+	tokens    int64 // counted in the candidate's pending tokens until started
+	started   bool  // the first event has arrived or the request has ended
 	ended     bool
 }
 
@@ -214,7 +213,6 @@
 	for range randomCandidates {
 		compared = append(compared, usable[p.random.IntN(len(usable))])
 	}
-	usualGap := p.usualGap(info.Service)
 	var best *candidate
 	var bestScore float64
 	bestCached := false
@@ -223,7 +221,7 @@
 			continue
 		}
 		cached := hasShared && (i == 0 || p.prefixes.isAt(id, c.ID, now))
-		score := p.engineScore(c, info, shared, cached, now) * c.speed.slowness(usualGap, now)
+		score := p.engineScore(c, info, shared, cached, now)
 		if best == nil || score < bestScore {
 			best, bestScore, bestCached = c, score, cached
 		}
@@ -234,8 +232,7 @@
 	return best, bestCached
 }
 
-// engineScore estimates the time to first event in milliseconds, at an engine of usual
-// speed, and adds a part of the time that the stream takes.
+// engineScore estimates the time to first event in milliseconds.
 func (p *Placer) engineScore(c *candidate, info PickInfo, shared int64, cached bool, now time.Duration) float64 {
 	prefill := float64(info.Prompt.Tokens-shared) / prefillTokensPerMs
 	if !cached {
@@ -243,7 +240,7 @@
 	}
 	queued := float64(c.pending) / prefillTokensPerMs
 	usual := queued + prefill + runningDelayMs*c.load(now) + waitingDelayMs*c.waitingRequests*c.reportWeight(now)
-	return usual*c.currentSlowdown(now) + outputDelayMs*float64(info.Prompt.MaxOutput)
+	return usual * c.currentSlowdown(now)
 }
 
 // leastLoaded returns the upstream with the lowest load per slot, or nil if all
@@ -276,10 +273,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.markStarted(pl)
-	if pl.eventAt > 0 {
-		pl.candidate.speed.add(now-pl.eventAt, now)
-	}
-	pl.eventAt = now
 	pl.candidate.recordResponse(now)
 }
 
