--- a/internal/fleet/nutmegview/evacuation.go
+++ b/internal/fleet/nutmegview/evacuation.go
@@ -42,10 +42,12 @@
 	if len(after) > maxEvacuations && !forgetEnded(after) {
 		return false
 	}
-	v.evacuations.Store(&after)
+	// First, so that what an end of the evacuation calls for is in place before requests
+	// go there.
 	for _, fn := range v.onEvacuation {
 		fn(c)
 	}
+	v.evacuations.Store(&after)
 	return true
 }
 
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -33,6 +33,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegroster"
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegadmit"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegconn"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegnotice"
@@ -210,7 +211,7 @@
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
 	e.relay = nutmegrelay.New(nutmegrelay.Config{
-		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, Notices: upstreamNotices{e},
+		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, Notices: upstreamNotices{e}, Admission: e.admission(),
 		Instances: e.roster.Count, MayBegin: e.checkDrain, OnDecision: e.relayDecided, Elapsed: e.uptime,
 	})
 	e.view.OnConfig(e.placer.SetConfig)
@@ -218,6 +219,16 @@
 	e.view.OnUpstreams(e.placer.SetUpstreams)
 }
 
+// admission returns nil, which admits all calls, unless the settings ask for another one.
+func (e *Entry) admission() nutmegrelay.Admission {
+	if !e.cfg.Settings.Admission.ByRoom {
+		return nil
+	}
+	controller := nutmegadmit.New(nutmegadmit.Config{Seed: rand.Uint64()})
+	e.view.OnConfig(controller.SetConfig)
+	return controller
+}
+
 // peersStarted continues the start once the fleet's key and number of shards are
 // known. The instance is ready only after that, with the suspects of the fleet.
 func (e *Entry) peersStarted(shards int) {
--- a/nutmegconf/entry_settings.go
+++ b/nutmegconf/entry_settings.go
@@ -9,12 +9,13 @@
 // EntrySettings holds the settings that an entry instance on a managed platform
 // reads at startup. The platform generates the file from a template.
 type EntrySettings struct {
-	Instance EntryInstanceSettings `toml:"instance"`
-	Listen   EntryListenSettings   `toml:"listen"`
-	Store    EntryStoreSettings    `toml:"store"`
-	Retries  EntryRetrySettings    `toml:"retries"`
-	Limits   EntryLimitSettings    `toml:"limits"`
-	Budget   EntryBudgetSettings   `toml:"budget"`
+	Instance  EntryInstanceSettings  `toml:"instance"`
+	Listen    EntryListenSettings    `toml:"listen"`
+	Store     EntryStoreSettings     `toml:"store"`
+	Retries   EntryRetrySettings     `toml:"retries"`
+	Limits    EntryLimitSettings     `toml:"limits"`
+	Budget    EntryBudgetSettings    `toml:"budget"`
+	Admission EntryAdmissionSettings `toml:"admission"`
 	// Evacuation is empty where the operator evacuates no failure domains.
 	Evacuation EntryEvacuationSettings `toml:"evacuation"`
 	// Regions maps each failure domain to its region.
@@ -68,6 +69,14 @@
 	CallerMemoryMB int `toml:"caller_memory_mb"`
 }
 
+// EntryAdmissionSettings control which requests are refused while the upstreams have
+// too little room for all.
+type EntryAdmissionSettings struct {
+	// ByRoom refuses requests to inference engines by workspace and urgency before the
+	// engines are full. Without it, requests are refused only by full engines.
+	ByRoom bool `toml:"by_room"`
+}
+
 // EntryBudgetSettings control the size of the leases of prepaid tokens.
 type EntryBudgetSettings struct {
 	Horizon Duration `toml:"horizon"` // span of spend that a lease covers
