entry: answers and local errors count for reach; bodies, evacuations and comments after a review

Cause: a reader new to the code found that only attempts to connect counted for whether an instance reaches anybody, ports of one machine as machines, and errors of its own; that a body could be refused at its end; that a refused body could be waited for; that a head behind another request took no memory; names that say little.

Change: an answer on a kept connection shows reach, old failures expire, hosts are counted without their ports. Reads without bytes take no memory. The oldest end of an evacuation that is forgotten is not applied. Names and comments.

--- a/internal/fleet/nutmegview/evacuation.go
+++ b/internal/fleet/nutmegview/evacuation.go
@@ -42,6 +42,9 @@
 	if len(after) > maxEvacuations && !forgetEnded(after) {
 		return false
 	}
+	if _, kept := after[c.FailureDomain]; !kept { // the oldest end itself
+		return false
+	}
 	// First, so that what an end of the evacuation calls for is in place before requests
 	// go there.
 	for _, fn := range v.onEvacuation {
--- a/internal/instance/nutmegaccount/account.go
+++ b/internal/instance/nutmegaccount/account.go
@@ -44,8 +44,8 @@
 
 	// minAge is how long nothing has happened on a connection that may be given up.
 	minAge = time.Second
-	// smallAmount is what one connection may take also of the memory that is reserved
-	// for ordinary requests.
+	// smallAmount is the most that a connection may take in total and still use the
+	// reserved memory.
 	smallAmount Bytes = 72 << 10
 	// reservedShare is the share of the memory that is reserved for small amounts.
 	reservedShare = 0.25
--- a/internal/instance/nutmegentry/body.go
+++ b/internal/instance/nutmegentry/body.go
@@ -50,6 +50,7 @@
 	_ = controller.SetReadDeadline(call.Deadline)
 	memory := e.memoryOf(r.Context())
 	if !memory.read(0) { // from now on, a connection that stands still may be given up
+		leaveBody(controller)
 		return nil, bodyRefusal(errBodyMemory)
 	}
 	reader := &accountedReader{from: r.Body, memory: memory}
@@ -76,7 +77,7 @@
 
 // read reads a body of the given size, or of unknown size if size is negative. It
 // returns the number of bytes that it has taken of the memory, also on an error. It
-// takes memory only for bytes that have arrived.
+// takes memory only for bytes that have arrived; the buffer may be twice as large.
 func (m *bodyMemory) read(from io.Reader, size int64) (body []byte, taken int64, err error) {
 	metered := &meteredReader{from: from, memory: m}
 	switch {
@@ -121,7 +122,7 @@
 // Read implements io.Reader.
 func (r *accountedReader) Read(p []byte) (int, error) {
 	n, err := r.from.Read(p)
-	if !r.memory.read(int64(n)) {
+	if n > 0 && !r.memory.read(int64(n)) {
 		return 0, errBodyMemory
 	}
 	return n, err
@@ -137,7 +138,7 @@
 // Read implements io.Reader.
 func (r *meteredReader) Read(p []byte) (int, error) {
 	n, err := r.from.Read(p)
-	if !r.memory.take(int64(n)) {
+	if n > 0 && !r.memory.take(int64(n)) {
 		return 0, errBodyMemory
 	}
 	r.taken += int64(n)
--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -31,7 +31,7 @@
 	refusalRetrySpread    = 700 * time.Millisecond // added at random, so that refused callers do not return together
 	refusalLogInterval    = time.Second
 	firstBodyBytes        = 1 << 10                // buffered for a body before any of it has come
-	bodyGrowth            = 3                      // by which a body's buffer grows, times its size
+	bodyGrowth            = 1                      // by which a body's buffer grows, times its size
 	unreadBodyTimeout     = 200 * time.Millisecond // for the rest of a body that is not read
 
 	// Shares of the instance's descriptors and memory. The rest is for the store, upstreams
--- a/internal/instance/nutmegentry/evacuations.go
+++ b/internal/instance/nutmegentry/evacuations.go
@@ -117,8 +117,8 @@
 	}
 }
 
-// changed logs a change that the view has applied, with the time since an instance
-// has read it from the store.
+// changed logs a change that the view has applied. age is the time since a peer has read
+// it from the store; 0 for other sources.
 func (v *evacuations) changed(c nutmegview.EvacuationChange, source evacuationSource, age time.Duration) {
 	e := v.entry
 	e.count("evacuation_changes")
--- a/internal/instance/nutmegentry/notices.go
+++ b/internal/instance/nutmegentry/notices.go
@@ -35,6 +35,7 @@
 // Record implements nutmegrelay.Notices.
 func (n upstreamNotices) Record(call *nutmegcall.Call, u nutmegview.Upstream, stated nutmegnotice.Notice) {
 	e := n.entry
+	e.reach.succeeded() // also if the connection was open already
 	if stated.Unclear {
 		e.count("rate_limits_unreadable")
 	}
@@ -91,8 +92,8 @@
 	return nutmegpermit.Request{Process: u.Process(), Rate: stated.Rate, Age: now - stated.HeardAt}, limited
 }
 
-// warmupSuffix marks the limit of a cold process among instances. The name of a process
-// ends in a number.
+// warmupSuffix marks the limit of a cold process among instances. No process name
+// ends with it, since these end in a number.
 const warmupSuffix = "/warmup"
 
 // limitName returns the name of a limit among instances.
--- a/internal/instance/nutmegentry/overload.go
+++ b/internal/instance/nutmegentry/overload.go
@@ -20,7 +20,8 @@
 	// since is the start of the overload in nanoseconds of uptime, or 0 if there is
 	// none.
 	since atomic.Int64
-	// loaded says that an overload goes on although no new callers come.
+	// loaded is Detector.Loaded at the latest sample: the load is still above the
+	// thresholds at which an overload ends.
 	loaded atomic.Bool
 }
 
--- a/internal/instance/nutmegentry/reach.go
+++ b/internal/instance/nutmegentry/reach.go
@@ -8,7 +8,6 @@
 	"net"
 	"sync"
 	"syscall"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -32,12 +31,28 @@
 	switch {
 	case err == nil, errors.Is(err, syscall.ECONNREFUSED):
 		r.succeeded()
+	case isLocal(err): // says nothing about the host
 	case !errors.Is(ctx.Err(), context.Canceled): // nobody waits for a canceled one any more
-		r.failed(address)
+		r.failed(hostOf(address))
 	}
 	return c, err
 }
 
+// hostOf returns the host of an address: all ports of a machine fail together.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return address
+	}
+	return host
+}
+
+// isLocal reports whether an attempt failed for a lack of this process's own resources.
+func isLocal(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL)
+}
+
+// succeeded records that a host has accepted a connection or answered a request.
 func (r *reach) succeeded() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -49,10 +64,10 @@
 	}
 }
 
-func (r *reach) failed(address string) {
+func (r *reach) failed(host string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.detector.Failed(address, r.entry.uptime())
+	r.detector.Failed(host, r.entry.uptime())
 	if r.detector.Lost() && !r.lost {
 		r.lost = true
 		r.entry.count("reach_lost")
@@ -71,6 +86,6 @@
 	}
 	return &nutmegcall.Refusal{
 		Reason: nutmegcall.ReasonInstanceCutOff, RetryAfter: cutOffRetryAfter + rand.N(cutOffRetryAfter),
-		Detail: fmt.Sprintf("no host has accepted a connection of this instance for %d ms", r.detector.Silence()/time.Millisecond),
+		Detail: fmt.Sprintf("no host has accepted a connection of this instance for %d ms", r.detector.Silence().Milliseconds()),
 	}
 }
--- a/internal/instance/nutmegoverload/defaults.go
+++ b/internal/instance/nutmegoverload/defaults.go
@@ -30,5 +30,6 @@
 	// minSilence is how long all attempts must have failed. It is longer than a short
 	// loss of packets lasts.
 	minSilence    = 200 * time.Millisecond
+	failureExpiry = 2 * time.Second        // without another failure, after which the earlier ones do not count
 	probeInterval = 100 * time.Millisecond // between requests that try while reach is lost
 )
--- a/internal/instance/nutmegoverload/reach.go
+++ b/internal/instance/nutmegoverload/reach.go
@@ -22,6 +22,9 @@
 
 // Failed records that a host did not answer in time.
 func (r *Reach) Failed(host string, now time.Duration) {
+	if now-r.lastAt > failureExpiry {
+		*r = Reach{}
+	}
 	if r.failures == 0 {
 		r.firstAt = now
 	}
@@ -43,8 +46,8 @@
 	return r.hosts[minHosts-1] != "" && r.Silence() >= minSilence
 }
 
-// Admit reports whether a request may try to reach a host. While reach is lost, one in
-// probeInterval may.
+// Admit reports whether a request may try to reach a host. While reach is lost, one
+// request per probeInterval may, to notice when hosts answer again.
 func (r *Reach) Admit(now time.Duration) bool {
 	if !r.Lost() {
 		return true
@@ -56,7 +59,7 @@
 	return true
 }
 
-// Silence returns for how long every attempt has failed.
+// Silence returns the time from the first to the latest failure since a host answered.
 func (r *Reach) Silence() time.Duration {
 	return r.lastAt - r.firstAt
 }
--- a/internal/ops/nutmegserve/exchange_limits.go
+++ b/internal/ops/nutmegserve/exchange_limits.go
@@ -11,7 +11,8 @@
 
 // LimitListener returns a listener for a protocol other than HTTP in which callers wait
 // for an answer to what they have sent. Connections are turned away or closed without an
-// answer; Limits.Head and Limits.Refuse are not used.
+// answer; Limits.Head and Limits.Refuse are not used. A connection that waits for an
+// answer counts as one whose request has not come whole, and may be closed to make room.
 func LimitListener(l net.Listener, limits *Limits) net.Listener {
 	return exchangeListener{Listener: l, limits: limits}
 }
--- a/internal/ops/nutmegserve/limits.go
+++ b/internal/ops/nutmegserve/limits.go
@@ -18,9 +18,9 @@
 	headByteMemory nutmegaccount.Bytes = 2        // for each byte of its head
 	headLineMemory nutmegaccount.Bytes = 160      // for each line of its head
 
-	maxFarewells    = 32                     // connections that are turned away at once with an answer
-	farewellTimeout = 200 * time.Millisecond // for such an answer to leave
-	farewellBytes   = 64 << 10               // that are read behind a refused request, so that its refusal arrives
+	maxRefusalWrites    = 32                     // connections that are turned away at once with an answer
+	refusalTimeout = 200 * time.Millisecond // for such an answer to leave
+	refusalDrainBytes   = 64 << 10               // that are read behind a refused request, so that its refusal arrives
 )
 
 // Refusal is why a server refuses a request or connection before net/http sees it.
@@ -61,11 +61,11 @@
 type limitedListener struct {
 	net.Listener
 	limits    *Limits
-	farewells chan struct{} // semaphore
+	refusals chan struct{} // semaphore
 }
 
 func limitListener(l net.Listener, limits *Limits) net.Listener {
-	return limitedListener{Listener: l, limits: limits, farewells: make(chan struct{}, maxFarewells)}
+	return limitedListener{Listener: l, limits: limits, refusals: make(chan struct{}, maxRefusalWrites)}
 }
 
 // Accept implements net.Listener. It turns connections away while there is no room.
@@ -88,17 +88,17 @@
 // turnAway closes a connection, with an answer unless many are being turned away.
 func (l limitedListener) turnAway(c *limitedConn) {
 	select {
-	case l.farewells <- struct{}{}:
-		go l.runFarewell(c)
+	case l.refusals <- struct{}{}:
+		go l.runRefusal(c)
 	default:
 		_ = c.Conn.Close()
 	}
 }
 
-func (l limitedListener) runFarewell(c *limitedConn) {
+func (l limitedListener) runRefusal(c *limitedConn) {
 	c.answer(RefusedConnection)
 	_ = c.Conn.Close()
-	<-l.farewells
+	<-l.refusals
 }
 
 // limitedConn counts what a caller's connection takes, and refuses requests over the
@@ -111,7 +111,7 @@
 	inRequest atomic.Bool // from the end of a request's head until its answer has ended
 	// Only the goroutine that reads heads uses the rest.
 	head    headMeter
-	kept    bool // has served a request
+	served  bool // has answered a request
 	refused bool
 }
 
@@ -172,7 +172,7 @@
 	}
 	limits := c.headLimits()
 	timeout := limits.Timeout
-	if c.kept && c.head.bytes == 0 {
+	if c.served && c.head.bytes == 0 {
 		timeout = limits.IdleTimeout
 	}
 	if last := time.Now().Add(timeout); timeout > 0 && t.After(last) {
@@ -201,13 +201,16 @@
 // begin records that a request's head has been read.
 func (c *limitedConn) begin() {
 	c.inRequest.Store(true)
+	if c.head.bytes == 0 { // all of it came behind the request before
+		c.account.Take(requestMemory, c.limits.Elapsed())
+	}
 	c.account.Begin(c.limits.Elapsed())
 }
 
 // end records that a request has been answered.
 func (c *limitedConn) end() {
 	c.head = headMeter{}
-	c.kept = true
+	c.served = true
 	c.account.End(c.limits.Elapsed())
 	c.inRequest.Store(false)
 }
@@ -218,14 +221,14 @@
 	if c.limits.Refuse == nil {
 		return
 	}
-	if c.SetDeadline(time.Now().Add(farewellTimeout)) != nil {
+	if c.SetDeadline(time.Now().Add(refusalTimeout)) != nil {
 		return
 	}
 	if _, err := c.Write(c.limits.Refuse(r)); err != nil {
 		return
 	}
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		_, _ = io.CopyN(io.Discard, c.Conn, farewellBytes)
+		_, _ = io.CopyN(io.Discard, c.Conn, refusalDrainBytes)
 	}
 }
 
--- a/internal/ops/nutmegserve/server.go
+++ b/internal/ops/nutmegserve/server.go
@@ -27,7 +27,7 @@
 	WriteTimeout   time.Duration // for one request, from the end of its header
 	MaxHeaderBytes int           // http.DefaultMaxHeaderBytes when zero
 	ConnState      func(net.Conn, http.ConnState)
-	Limits         *Limits       // of all callers together; nil means none
+	Limits         *Limits       // of all callers together; nil means none; not for TLS listeners
 	Log            *logrus.Entry // receives net/http's messages at debug level
 }
 
--- a/internal/traffic/nutmegadmit/defaults.go
+++ b/internal/traffic/nutmegadmit/defaults.go
@@ -8,7 +8,7 @@
 	minReports     = 3.0         // weight of the reports below which the room is not known
 	maxWaiting     = 2.0         // waiting requests per slot that count in one report
 
-	fullLoad = 1.0  // requests per slot, running and waiting, that are neither too few nor too many
+	fullLoad = 1.0  // target load: running and waiting requests per slot
 	calmLoad = 0.75 // requests per slot below which nothing is refused
 	// The share of the demand that is refused follows from the load above fullLoad:
 	promptShare     = 0.5         // at once, for each request per slot
@@ -20,7 +20,7 @@
 	maxDemandAge   = 10 * demandHalfLife // after which new requests weigh 1 again
 	minDemand      = 1.0                 // tokens below which there is no demand
 
-	largeFactor = 2.0 // times an even share of the demand that a large workspace exceeds
+	largeFactor = 2.0 // a workspace is large above this multiple of an even share of the demand
 	// minAdmitted is the share of the requests of a priority, and of a workspace in it,
 	// that is admitted however little room there is.
 	minAdmitted = 0.1
--- a/internal/traffic/nutmegadmit/service.go
+++ b/internal/traffic/nutmegadmit/service.go
@@ -47,7 +47,8 @@
 }
 
 // decide returns the share of requests such as r that is admitted now, and the reason
-// for which the others are refused. Weighed are the tokens of r in the demand.
+// for which the others are refused. weighed is the number of tokens of r, as weighted
+// in the demand.
 func (s *service) decide(r Request, weighed float64, now time.Duration) Decision {
 	d := Decision{Share: 1, Room: s.reports.room(now), Rank: s.demand.all.rank(r.Priority)}
 	excess := s.excess(d.Room, now)
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -58,8 +58,8 @@
 	Prompt  Prompt
 }
 
-// Memory is the account of what a call holds in memory. It is released when the call has
-// ended, at the latest.
+// Memory is the account of what a call holds in memory. What is not released is
+// returned when the call ends.
 type Memory interface {
 	// Take takes memory and returns false if too little is left.
 	Take(bytes int64) bool
@@ -86,7 +86,7 @@
 	Target string // path and query as sent by the caller
 	Header http.Header
 	Body   []byte
-	Memory Memory
+	Memory Memory // nil means no limit
 
 	Arrived  time.Time
 	Deadline time.Time // the earlier of the caller's and the route's limits
--- a/internal/traffic/nutmegplace/candidate.go
+++ b/internal/traffic/nutmegplace/candidate.go
@@ -28,7 +28,7 @@
 	otherRequests   float64 // requests from other instances, as of the last report
 	waitingRequests float64 // queued requests, as of the last report
 	reportedAt      time.Duration
-	slowdown        float64 // of the last report, within bounds; 1 if it stated none
+	slowdown        float64 // of the last report, within bounds; 1 if it stated none, 0 before the first
 
 	saidLeaving      bool          // the process has said that it leaves
 	heldUntil        time.Duration // no request may be sent before, as the upstream has stated
@@ -131,7 +131,7 @@
 // The states of a candidate, in order of preference.
 const (
 	stateHealthy = iota
-	stateSpared  // healthy, but it has to be spared after its start
+	stateSpared  // healthy, but this request avoids it while its share rises
 	stateSilent
 	stateAvoided
 )
--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -305,8 +305,8 @@
 	return usual * c.currentSlowdown(now)
 }
 
-// leastLoaded returns the upstream with the lowest load per slot, or nil if all
-// are full.
+// leastLoaded returns the upstream with the lowest load per slot, increased for slow,
+// cold and remote ones, or nil if all are full.
 func (p *Placer) leastLoaded(usable []*candidate, queueShare float64, now time.Duration) *candidate {
 	var best *candidate
 	var bestScore float64
--- a/internal/traffic/nutmegplace/slowdown_test.go
+++ b/internal/traffic/nutmegplace/slowdown_test.go
@@ -33,9 +33,9 @@
 	return float64(found) / requests
 }
 
-// TestANeighbourThatTakesTwoAndAHalfTimesForSixTenthsOfASecond has the machine of one of
+// TestSlowEngineGetsFewerRequestsUntilItsReportExpires has the machine of one of
 // six engines work 2.5 times as long for 0.6 s.
-func TestANeighbourThatTakesTwoAndAHalfTimesForSixTenthsOfASecond(t *testing.T) {
+func TestSlowEngineGetsFewerRequestsUntilItsReportExpires(t *testing.T) {
 	p := newTestPlacer(newUpstreams(6, 0))
 	const slow = nutmegid.Upstream("engines-03")
 	start := 10 * time.Second
