entry: evacuations that last longer than gossip items are told again

Cause: an item about an evacuation was put once and expires after 30 minutes; an instance that starts later while the store is silent would have taken the domain for open.

Change: instances tell evacuations that last once a minute again; an item that others hold changes nothing.

--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -68,6 +68,8 @@
 	maxEvacuationItems     = 256
 	maxEvacuationItemBytes = 1 << 10          // of a gossip item about an evacuation
 	evacuationLifetime     = 30 * time.Minute // of such an item
+	// evacuationResendInterval is how often the items of evacuations that last are sent again.
+	evacuationResendInterval = time.Minute
 	// evacuationWaitDivisor divides the bound of evacuations: a poll for changes waits that
 	// long. A connection that has fallen silent shows only after it.
 	evacuationWaitDivisor = 3
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -265,9 +265,7 @@
 	e.stopFollowing = cancel
 	e.configFollower.Start(ctx)
 	e.upstreamFollower.Start(ctx)
-	if e.evacuations != nil {
-		e.evacuations.follower.Start(ctx)
-	}
+	e.evacuations.start(ctx)
 	e.roster.Start(ctx, e.limitPeers(peers))
 	go e.fetchConfigLoop(ctx)
 	go e.overload.loop(ctx)
--- a/internal/instance/nutmegentry/evacuations.go
+++ b/internal/instance/nutmegentry/evacuations.go
@@ -1,6 +1,7 @@
 package nutmegentry
 
 import (
+	"context"
 	"encoding/json"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	// connectedAt is when other instances could begin to tell this one, in nanoseconds of
 	// uptime; 0 before.
 	connectedAt atomic.Int64
+	done        chan struct{} // closed when run has returned
 }
 
 // evacuationSource says from whom this instance has learned of a change.
@@ -52,7 +54,7 @@
 	if bound == 0 {
 		return nil
 	}
-	v := &evacuations{entry: e, bound: bound}
+	v := &evacuations{entry: e, bound: bound, done: make(chan struct{})}
 	wait := bound / evacuationWaitDivisor
 	v.feed = e.newFeed(nutmegfeed.Config{
 		Kind: e.cfg.Platform.EvacuationKind, FeederWait: wait, PeerWait: wait,
@@ -67,6 +69,48 @@
 	return v
 }
 
+// start follows the evacuations until ctx ends.
+func (v *evacuations) start(ctx context.Context) {
+	if v == nil {
+		return
+	}
+	v.follower.Start(ctx)
+	go v.run(ctx)
+}
+
+// wait blocks until run has returned.
+func (v *evacuations) wait() {
+	if v == nil {
+		return
+	}
+	<-v.done
+}
+
+// run tells other instances again of evacuations that last longer than gossip items.
+func (v *evacuations) run(ctx context.Context) {
+	defer close(v.done)
+	ticker := time.NewTicker(evacuationResendInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			v.resend()
+		}
+	}
+}
+
+// resend sends the items of all evacuations that last. An item that others still hold
+// changes nothing there.
+func (v *evacuations) resend() {
+	for _, c := range v.entry.view.Evacuations() {
+		if c.Evacuated {
+			v.send(c)
+		}
+	}
+}
+
 // known reports whether this instance knows the evacuated domains: from the store, or
 // because other instances have had time to tell.
 func (v *evacuations) known() bool {
--- a/internal/ops/nutmegserve/limits.go
+++ b/internal/ops/nutmegserve/limits.go
@@ -18,9 +18,9 @@
 	headByteMemory nutmegaccount.Bytes = 2        // for each byte of its head
 	headLineMemory nutmegaccount.Bytes = 160      // for each line of its head
 
-	maxRefusalWrites    = 32                     // connections that are turned away at once with an answer
-	refusalTimeout = 200 * time.Millisecond // for such an answer to leave
-	refusalDrainBytes   = 64 << 10               // that are read behind a refused request, so that its refusal arrives
+	maxRefusalWrites  = 32                     // connections that are turned away at once with an answer
+	refusalTimeout    = 200 * time.Millisecond // for such an answer to leave
+	refusalDrainBytes = 64 << 10               // that are read behind a refused request, so that its refusal arrives
 )
 
 // Refusal is why a server refuses a request or connection before net/http sees it.
@@ -60,7 +60,7 @@
 // limitedListener accepts only connections that its account has room for.
 type limitedListener struct {
 	net.Listener
-	limits    *Limits
+	limits   *Limits
 	refusals chan struct{} // semaphore
 }
 
