--- a/internal/traffic/nutmegpermit/cold_test.go
+++ b/internal/traffic/nutmegpermit/cold_test.go
@@ -80,24 +80,28 @@
 // TestColdUpstreamsGetNoMoreInAnySecond guards against upstreams that turn cold in the
 // middle of a burst, or all at once, and get more in some second than they bear.
 func TestColdUpstreamsGetNoMoreInAnySecond(t *testing.T) {
+	t.Parallel()
 	playColdFleets(t, func(*modelConfig) {})
 }
 
 // TestColdUpstreamsWhileTheFleetChanges plays the same with instances that restart,
 // freeze, join, or do not reach the store.
 func TestColdUpstreamsWhileTheFleetChanges(t *testing.T) {
+	t.Parallel()
 	playColdFleets(t, func(cfg *modelConfig) { cfg.disturbed = true })
 }
 
 // TestColdUpstreamsInADividedFleet plays the same with two views of the members, so that
 // a process has two homes.
 func TestColdUpstreamsInADividedFleet(t *testing.T) {
+	t.Parallel()
 	playColdFleets(t, func(cfg *modelConfig) { cfg.divided = true })
 }
 
 // TestModelNoticesBrokenPermitsOfColdUpstreams checks that the model fails instances of
 // which each keeps the limit for itself, and homes that permit three times their share.
 func TestModelNoticesBrokenPermitsOfColdUpstreams(t *testing.T) {
+	t.Parallel()
 	alone := coldFleet()
 	alone.alone = true
 	if r := newModel(alone).run(); r.excess <= 0 {
--- a/internal/traffic/nutmegpermit/fleets_test.go
+++ b/internal/traffic/nutmegpermit/fleets_test.go
@@ -38,29 +38,34 @@
 // but not over all of them, and against limits that are not used while callers are
 // refused.
 func TestLimitHoldsOverAllInstances(t *testing.T) {
+	t.Parallel()
 	playFleets(t, usedShare, func(*modelConfig) {})
 }
 
 // TestLimitHoldsWhileTheFleetChanges plays instances that restart, freeze, join, or do
 // not reach the store, so that homes change and instances disagree about them.
 func TestLimitHoldsWhileTheFleetChanges(t *testing.T) {
+	t.Parallel()
 	playFleets(t, 0, func(cfg *modelConfig) { cfg.disturbed = true })
 }
 
 // TestHomeWithAnOldListStepsBack guards against two first homes: one that instances
 // agree on that have read the list lately, and one for those that have not.
 func TestHomeWithAnOldListStepsBack(t *testing.T) {
+	t.Parallel()
 	playFleets(t, 0, func(cfg *modelConfig) { cfg.divided = true })
 }
 
 // TestChangingLimitsHold plays limits that rise, fall and end.
 func TestChangingLimitsHold(t *testing.T) {
+	t.Parallel()
 	playFleets(t, 0, func(cfg *modelConfig) { cfg.changing = true })
 }
 
 // TestHomeLearnsAtOnceThatALimitFell guards against a home that permits an old, higher
 // rate until an instance that knows better happens to ask for a permit.
 func TestHomeLearnsAtOnceThatALimitFell(t *testing.T) {
+	t.Parallel()
 	cfg := fleets[3]
 	cfg.changing = true
 	cfg.seed = 37
@@ -72,6 +77,7 @@
 // TestUpstreamIsRelievedAtOnce guards against upstreams that each instance has to
 // learn of by itself: with hundreds of instances that takes minutes.
 func TestUpstreamIsRelievedAtOnce(t *testing.T) {
+	t.Parallel()
 	playFleets(t, usedShare, func(cfg *modelConfig) { cfg.spread = true })
 }
 
