--- a/review/platform/instance.go
+++ b/review/platform/instance.go
@@ -8,7 +8,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"regexp"
 	"strings"
 	"syscall"
 	"time"
@@ -26,9 +25,6 @@
 	ended     chan struct{}
 }
 
-// sections are the parts of the template for what this stand-in does not have.
-var sections = regexp.MustCompile(`(?s){{#([a-zA-Z0-9.]+)}}.*?{{/([a-zA-Z0-9.]+)}}\n`)
-
 // startInstance fills in the settings of deploy/entry.toml and starts the program
 // of deploy/system.toml.
 func startInstance(root, dir, name, zone, storeAddress string) (*instance, error) {
@@ -41,7 +37,7 @@
 		return nil, err
 	}
 	i := &instance{name: name, callers: "127.0.0.1:" + ports[0], readiness: "127.0.0.1:" + ports[1]}
-	settings := sections.ReplaceAllString(string(template), "")
+	settings := string(template)
 	for key, value := range map[string]string{
 		"node": name, "zone": zone, "region": "semenanjung", "ipAddress": "127.0.0.1",
 		"listenAddresses.frontend": i.callers, "listenAddresses.readiness": i.readiness,
