--- a/review/stand2/cmd/case-entry/main.go
+++ b/review/stand2/cmd/case-entry/main.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"review2/bed"
+	"review2/platform"
 )
 
 const (
@@ -31,21 +31,21 @@
 )
 
 func main() {
-	c := bed.Open()
-	c.Configure(1, nil, []string{desks, stocks}, []bed.Route{
+	c := platform.Open()
+	c.Configure(1, nil, []string{desks, stocks}, []platform.Route{
 		{Name: "order-confirm", Prefix: "/orders/", Service: desks, Kind: "non_idempotent", TimeoutMs: 600, Attempts: 1},
 		{Name: "stock-look", Prefix: stockPrefix, Service: stocks, Kind: "idempotent", TimeoutMs: 600, Attempts: 2},
 	})
 	w := &watch{c: c}
-	var servers []*bed.Server
+	var servers []*platform.Server
 	for n, zone := range []string{"shah-alam", "ipoh", "johor-bahru", "shah-alam", "ipoh", "johor-bahru"} {
 		service := desks
 		if n >= 3 {
 			service = stocks
 		}
-		servers = append(servers, c.Serve(&bed.Server{Name: fmt.Sprintf("i-%d", n+1), Service: service, Zone: zone, Slots: 6, Handle: w.handle}))
+		servers = append(servers, c.Serve(&platform.Server{Name: fmt.Sprintf("i-%d", n+1), Service: service, Zone: zone, Slots: 6, Handle: w.handle}))
 	}
-	instance := c.Start(bed.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: 134})
+	instance := c.Start(platform.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: 134})
 	if c.Trouble {
 		go forge(c, servers[3])
 	}
@@ -59,7 +59,7 @@
 
 // forge writes, in place of a server of another service, an entry that lacks some fields.
 // The server's own next entry replaces it.
-func forge(c *bed.Case, s *bed.Server) {
+func forge(c *platform.Case, s *platform.Server) {
 	for range forgeries {
 		time.Sleep(forgeryAt)
 		c.Log("another writer puts an entry in place of that of %s: service %s, without zone, version, coldRemainingMs and seq", s.Name, desks)
@@ -69,13 +69,13 @@
 
 // watch records the orders that run at servers of the other service.
 type watch struct {
-	c *bed.Case
+	c *platform.Case
 
 	mu      sync.Mutex
 	foreign []string
 }
 
-func (w *watch) handle(s *bed.Server, r *bed.Run) int {
+func (w *watch) handle(s *platform.Server, r *platform.Run) int {
 	s.Began(r.ID)
 	w.c.Log("%s of %s runs %s %s", s.Name, s.Service, r.ID, r.Request.URL.Path)
 	if strings.HasPrefix(r.Request.URL.Path, stockPrefix) != (s.Service == stocks) {
@@ -88,7 +88,7 @@
 }
 
 // send sends orders until the end and returns how many were served.
-func (w *watch) send(instance *bed.Instance, end time.Time) int {
+func (w *watch) send(instance *platform.Instance, end time.Time) int {
 	served := 0
 	var mu sync.Mutex
 	var all sync.WaitGroup
@@ -96,7 +96,7 @@
 		all.Go(func() {
 			for time.Now().Before(end) {
 				id := fmt.Sprintf("%016x", rand.Uint64())
-				a := bed.Send(instance.Callers, bed.Request{ID: id, Method: http.MethodPost, Path: ordersPath, Key: bed.Key, Limit: timeLimit, Body: "pane"})
+				a := platform.Send(instance.Callers, platform.Request{ID: id, Method: http.MethodPost, Path: ordersPath, Key: platform.Key, Limit: timeLimit, Body: "pane"})
 				w.c.Log("client of %s got status %d, broken %v", id, a.Status, a.Broken)
 				mu.Lock()
 				if a.Status == http.StatusOK {
--- a/review/stand2/cmd/case-memory/main.go
+++ b/review/stand2/cmd/case-memory/main.go
@@ -14,7 +14,7 @@
 	"sync/atomic"
 	"time"
 
-	"review2/bed"
+	"review2/platform"
 )
 
 const (
@@ -35,11 +35,11 @@
 
 // trouble is the behaviour of the engines.
 type trouble struct {
-	c       *bed.Case
+	c       *platform.Case
 	endless atomic.Int64
 }
 
-func (t *trouble) engine(s *bed.Server, r *bed.Run) int {
+func (t *trouble) engine(s *platform.Server, r *platform.Run) int {
 	s.Began(r.ID)
 	if !t.c.Trouble {
 		return r.Stream(50, 40*time.Millisecond)
@@ -49,7 +49,7 @@
 }
 
 // endlessHead sends short header lines until the other side closes.
-func endlessHead(r *bed.Run) int {
+func endlessHead(r *platform.Run) int {
 	if _, err := io.WriteString(r.Conn, "HTTP/1.1 200 OK\r\n"); err != nil {
 		return -1
 	}
@@ -67,23 +67,23 @@
 }
 
 func main() {
-	c := bed.Open()
+	c := platform.Open()
 	t := &trouble{c: c}
-	c.Configure(1, []string{engines}, []string{desks}, []bed.Route{
+	c.Configure(1, []string{engines}, []string{desks}, []platform.Route{
 		{Name: "sheet-list", Prefix: "/lists/", Service: engines, Kind: "streaming", TimeoutMs: 15000, Attempts: 1},
 		{Name: "stock-look", Prefix: "/stock/", Service: desks, Kind: "idempotent", TimeoutMs: 600, Attempts: 2},
 	})
 	for n, zone := range []string{"shah-alam", "ipoh", "johor-bahru", "shah-alam", "ipoh", "johor-bahru"} {
-		c.Serve(&bed.Server{Name: fmt.Sprintf("i-%d", n+1), Service: engines, Zone: zone, Slots: 64, Handle: t.engine})
+		c.Serve(&platform.Server{Name: fmt.Sprintf("i-%d", n+1), Service: engines, Zone: zone, Slots: 64, Handle: t.engine})
 	}
 	for n, zone := range []string{"shah-alam", "ipoh", "johor-bahru"} {
-		c.Serve(&bed.Server{Name: fmt.Sprintf("i-%d", n+7), Service: desks, Zone: zone, Slots: 6, Handle: func(s *bed.Server, r *bed.Run) int {
+		c.Serve(&platform.Server{Name: fmt.Sprintf("i-%d", n+7), Service: desks, Zone: zone, Slots: 6, Handle: func(s *platform.Server, r *platform.Run) int {
 			s.Began(r.ID)
 			time.Sleep(15 * time.Millisecond)
 			return r.Succeed("stock")
 		}})
 	}
-	instance := c.Start(bed.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: memoryMB})
+	instance := c.Start(platform.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: memoryMB})
 	c.Log("%s takes %d kB before the first request", instance.Name, instance.PeakKB())
 	end := time.Now().Add(duration)
 	var all sync.WaitGroup
@@ -107,12 +107,12 @@
 }
 
 // readStreams is one client that asks for one stream after another.
-func readStreams(c *bed.Case, instance *bed.Instance, end time.Time) {
+func readStreams(c *platform.Case, instance *platform.Instance, end time.Time) {
 	for time.Now().Before(end) && !instance.Ended() {
 		id := fmt.Sprintf("%016x", rand.Uint64())
-		a := bed.Send(instance.Callers, bed.Request{
-			ID: id, Method: http.MethodPost, Path: "/lists/2f", Key: bed.Key, Limit: streamLimit, Body: "sheet",
-			Headers: fmt.Sprintf("%s: m\r\n%s: 826,290\r\n%s: 5c1e07a2:119,91bd3f06:79,%s:628\r\n", bed.HeaderModel, bed.HeaderTokens, bed.HeaderPrefix, id[:8]),
+		a := platform.Send(instance.Callers, platform.Request{
+			ID: id, Method: http.MethodPost, Path: "/lists/2f", Key: platform.Key, Limit: streamLimit, Body: "sheet",
+			Headers: fmt.Sprintf("%s: m\r\n%s: 826,290\r\n%s: 5c1e07a2:119,91bd3f06:79,%s:628\r\n", platform.HeaderModel, platform.HeaderTokens, platform.HeaderPrefix, id[:8]),
 		})
 		c.Log("client of stream %s got status %d, broken %v after %v", id, a.Status, a.Broken, a.Took.Round(time.Millisecond))
 		time.Sleep(100 * time.Millisecond)
@@ -120,10 +120,10 @@
 }
 
 // askStock is a client that asks for the stock again and again.
-func askStock(c *bed.Case, instance *bed.Instance, end time.Time) (broken, served int) {
+func askStock(c *platform.Case, instance *platform.Instance, end time.Time) (broken, served int) {
 	for time.Now().Before(end) {
 		id := fmt.Sprintf("%016x", rand.Uint64())
-		a := bed.Send(instance.Callers, bed.Request{ID: id, Method: http.MethodGet, Path: "/stock/2f", Key: bed.Key, Limit: orderLimit})
+		a := platform.Send(instance.Callers, platform.Request{ID: id, Method: http.MethodGet, Path: "/stock/2f", Key: platform.Key, Limit: orderLimit})
 		if a.Status == http.StatusOK {
 			served++
 		}
--- a/review/stand2/cmd/case-mixed/main.go
+++ b/review/stand2/cmd/case-mixed/main.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"review2/bed"
+	"review2/platform"
 )
 
 const (
@@ -33,7 +33,7 @@
 
 // desk is the behaviour of the servers.
 type desk struct {
-	c       *bed.Case
+	c       *platform.Case
 	began   time.Time
 	answers atomic.Int64 // of the faulty server, in the time of trouble
 	spoiled atomic.Int64 // of these
@@ -41,7 +41,7 @@
 	booked  sync.Map     // ids that a server has answered with success
 }
 
-func (d *desk) handle(s *bed.Server, r *bed.Run) int {
+func (d *desk) handle(s *platform.Server, r *platform.Run) int {
 	s.Began(r.ID)
 	fail := rand.Float64() < failures
 	if since := time.Since(d.began); s.Name == faultyName && since >= troubleFrom && since < troubleFrom+troubleFor {
@@ -58,7 +58,7 @@
 	if fail {
 		d.failed.Store(r.ID, true)
 		d.c.Log("%s answers %s with a failure of its own, 500", s.Name, r.ID)
-		return r.Answer(http.StatusInternalServerError, fmt.Sprintf("%s: %s.500\r\n", bed.HeaderSignature, r.ID), "no stock is known")
+		return r.Answer(http.StatusInternalServerError, fmt.Sprintf("%s: %s.500\r\n", platform.HeaderSignature, r.ID), "no stock is known")
 	}
 	d.c.Log("%s answers %s with 200", s.Name, r.ID)
 	d.booked.Store(r.ID, true)
@@ -66,15 +66,15 @@
 }
 
 func main() {
-	c := bed.Open()
+	c := platform.Open()
 	d := &desk{c: c, began: time.Now()}
-	c.Configure(1, nil, []string{service}, []bed.Route{
+	c.Configure(1, nil, []string{service}, []platform.Route{
 		{Name: "stock-look", Prefix: "/stock/", Service: service, Kind: "idempotent", TimeoutMs: 600, Attempts: 2},
 	})
 	for n, zone := range []string{"shah-alam", "ipoh", "johor-bahru"} {
-		c.Serve(&bed.Server{Name: fmt.Sprintf("i-%d", n+1), Service: service, Zone: zone, Slots: 6, Handle: d.handle})
+		c.Serve(&platform.Server{Name: fmt.Sprintf("i-%d", n+1), Service: service, Zone: zone, Slots: 6, Handle: d.handle})
 	}
-	instance := c.Start(bed.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: 134})
+	instance := c.Start(platform.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: 134})
 	d.began = time.Now()
 	served, reasons := d.send(instance, time.Now().Add(duration))
 	c.Log("summary: %d lookups with success, %d of %d answers of %s in %s of trouble had the beginning of another one in front, %d failures were passed on as success", served, d.spoiled.Load(), d.answers.Load(), faultyName, troubleFor, len(reasons))
@@ -86,14 +86,14 @@
 
 // send sends lookups until the end. It returns how many were answered with success, and
 // how the rule MIXED was broken.
-func (d *desk) send(instance *bed.Instance, end time.Time) (served int, reasons []string) {
+func (d *desk) send(instance *platform.Instance, end time.Time) (served int, reasons []string) {
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	for range clients {
 		all.Go(func() {
 			for time.Now().Before(end) {
 				id := fmt.Sprintf("%016x", rand.Uint64())
-				a := bed.Send(instance.Callers, bed.Request{ID: id, Method: http.MethodGet, Path: "/stock/2f", Key: bed.Key, Limit: timeLimit})
+				a := platform.Send(instance.Callers, platform.Request{ID: id, Method: http.MethodGet, Path: "/stock/2f", Key: platform.Key, Limit: timeLimit})
 				d.c.Log("client of %s got status %d %q, broken %v", id, a.Status, a.Body, a.Broken)
 				mu.Lock()
 				if a.Status == http.StatusOK {
--- a/review/stand2/cmd/case-prefix/main.go
+++ b/review/stand2/cmd/case-prefix/main.go
@@ -12,7 +12,7 @@
 	"sync/atomic"
 	"time"
 
-	"review2/bed"
+	"review2/platform"
 )
 
 const (
@@ -34,26 +34,26 @@
 }
 
 func main() {
-	c := bed.Open()
-	c.Configure(1, []string{engines}, []string{desks}, []bed.Route{
+	c := platform.Open()
+	c.Configure(1, []string{engines}, []string{desks}, []platform.Route{
 		{Name: "edge-check", Prefix: "/checks/", Service: engines, Kind: "streaming", TimeoutMs: 3000, Attempts: 1},
 		{Name: "stock-look", Prefix: "/stock/", Service: desks, Kind: "idempotent", TimeoutMs: 600, Attempts: 2},
 	})
 	zones := []string{"shah-alam", "ipoh", "johor-bahru"}
 	for n := range 6 {
-		c.Serve(&bed.Server{Name: fmt.Sprintf("i-%d", n+1), Service: engines, Zone: zones[n%3], Slots: 64, Handle: func(s *bed.Server, r *bed.Run) int {
+		c.Serve(&platform.Server{Name: fmt.Sprintf("i-%d", n+1), Service: engines, Zone: zones[n%3], Slots: 64, Handle: func(s *platform.Server, r *platform.Run) int {
 			s.Began(r.ID)
 			return r.Stream(2, 5*time.Millisecond)
 		}})
 	}
 	for n := range 3 {
-		c.Serve(&bed.Server{Name: fmt.Sprintf("i-%d", n+7), Service: desks, Zone: zones[n], Slots: 6, Handle: func(s *bed.Server, r *bed.Run) int {
+		c.Serve(&platform.Server{Name: fmt.Sprintf("i-%d", n+7), Service: desks, Zone: zones[n], Slots: 6, Handle: func(s *platform.Server, r *platform.Run) int {
 			s.Began(r.ID)
 			time.Sleep(15 * time.Millisecond)
 			return r.Succeed("stock")
 		}})
 	}
-	instance := c.Start(bed.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: memoryMB})
+	instance := c.Start(platform.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: memoryMB})
 	end := time.Now().Add(duration)
 	var odd counts
 	var all sync.WaitGroup
@@ -79,16 +79,16 @@
 
 // sendOdd is one client that sends requests of legal size. In trouble, one header line is
 // long; else it is as short as those of the other clients.
-func sendOdd(c *bed.Case, instance *bed.Instance, end time.Time, n *counts) {
+func sendOdd(c *platform.Case, instance *platform.Instance, end time.Time, n *counts) {
 	for time.Now().Before(end) && !instance.Ended() {
 		id := fmt.Sprintf("%016x", rand.Uint64())
 		shared := id[8:]
 		if c.Trouble {
 			shared += strings.Repeat("0", prefixBytes)
 		}
-		a := bed.Send(instance.Callers, bed.Request{
-			ID: id, Method: http.MethodPost, Path: "/checks/2f", Key: bed.Key, Limit: streamLimit, Body: "edge",
-			Headers: fmt.Sprintf("%s: m\r\n%s: 50,10\r\n%s: %s:20,%s:30\r\n", bed.HeaderModel, bed.HeaderTokens, bed.HeaderPrefix, shared, id[:8]),
+		a := platform.Send(instance.Callers, platform.Request{
+			ID: id, Method: http.MethodPost, Path: "/checks/2f", Key: platform.Key, Limit: streamLimit, Body: "edge",
+			Headers: fmt.Sprintf("%s: m\r\n%s: 50,10\r\n%s: %s:20,%s:30\r\n", platform.HeaderModel, platform.HeaderTokens, platform.HeaderPrefix, shared, id[:8]),
 		})
 		if sent := n.sent.Add(1); sent%500 == 0 {
 			c.Log("%d odd requests sent, the process takes %d kB at most so far", sent, instance.PeakKB())
@@ -103,10 +103,10 @@
 }
 
 // askStock is an ordinary client that asks for the stock again and again.
-func askStock(c *bed.Case, instance *bed.Instance, end time.Time) (served, broken int) {
+func askStock(c *platform.Case, instance *platform.Instance, end time.Time) (served, broken int) {
 	for time.Now().Before(end) {
 		id := fmt.Sprintf("%016x", rand.Uint64())
-		a := bed.Send(instance.Callers, bed.Request{ID: id, Method: http.MethodGet, Path: "/stock/2f", Key: bed.Key, Limit: stockLimit})
+		a := platform.Send(instance.Callers, platform.Request{ID: id, Method: http.MethodGet, Path: "/stock/2f", Key: platform.Key, Limit: stockLimit})
 		switch a.Status {
 		case http.StatusOK:
 			served++
--- a/review/stand2/cmd/case-twice/main.go
+++ b/review/stand2/cmd/case-twice/main.go
@@ -11,7 +11,7 @@
 	"sync/atomic"
 	"time"
 
-	"review2/bed"
+	"review2/platform"
 )
 
 const (
@@ -31,7 +31,7 @@
 
 // desk is the behaviour of the order desks.
 type desk struct {
-	c       *bed.Case
+	c       *platform.Case
 	faulty  string // name of the server that sends additional bytes, one of three
 	began   time.Time
 	answers atomic.Int64             // of the faulty server, in the time of trouble
@@ -40,12 +40,12 @@
 }
 
 // inTrouble reports whether the faulty server sends additional bytes now.
-func (d *desk) inTrouble(s *bed.Server) bool {
+func (d *desk) inTrouble(s *platform.Server) bool {
 	since := time.Since(d.began)
 	return s.Name == d.faulty && since >= troubleFrom && since < troubleFrom+troubleFor
 }
 
-func (d *desk) handle(s *bed.Server, r *bed.Run) int {
+func (d *desk) handle(s *platform.Server, r *platform.Run) int {
 	if d.inTrouble(s) {
 		d.answers.Add(1)
 	}
@@ -55,7 +55,7 @@
 	if d.inTrouble(s) && d.maySpoil(r) {
 		// A second copy of the refusal before, late and cut off.
 		d.c.Log("%s sends a cut-off second copy of its earlier refusal before it answers %s", s.Name, r.ID)
-		if _, err := io.WriteString(r.Conn, "HTTP/1.1 503 Service Unavailable\r\n"+bed.HeaderNotExecuted+": 1"); err != nil {
+		if _, err := io.WriteString(r.Conn, "HTTP/1.1 503 Service Unavailable\r\n"+platform.HeaderNotExecuted+": 1"); err != nil {
 			return -1
 		}
 	}
@@ -68,9 +68,9 @@
 }
 
 // shed refuses a request that the server does not run.
-func (d *desk) shed(s *bed.Server, r *bed.Run) int {
+func (d *desk) shed(s *platform.Server, r *platform.Run) int {
 	d.c.Log("%s sheds %s", s.Name, r.ID)
-	_, err := fmt.Fprintf(r.Conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", bed.HeaderNotExecuted, bed.HeaderID, r.ID)
+	_, err := fmt.Fprintf(r.Conn, "HTTP/1.1 503 Service Unavailable\r\n%s: 1\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", platform.HeaderNotExecuted, platform.HeaderID, r.ID)
 	if err != nil {
 		return -1
 	}
@@ -79,7 +79,7 @@
 
 // maySpoil decides whether additional bytes follow the answer before, a refusal. They
 // stay within the dose.
-func (d *desk) maySpoil(r *bed.Run) bool {
+func (d *desk) maySpoil(r *platform.Run) bool {
 	n := len(r.Before)
 	if !d.c.Trouble || n == 0 || r.Before[n-1] != http.StatusServiceUnavailable {
 		return false
@@ -92,18 +92,18 @@
 }
 
 func main() {
-	c := bed.Open()
+	c := platform.Open()
 	d := &desk{c: c, faulty: "i-1", began: time.Now(), places: make(map[string]chan struct{})}
-	c.Configure(1, nil, []string{service}, []bed.Route{
+	c.Configure(1, nil, []string{service}, []platform.Route{
 		{Name: "order-confirm", Prefix: "/orders/", Service: service, Kind: "non_idempotent", TimeoutMs: 600, Attempts: 2},
 	})
-	var servers []*bed.Server
+	var servers []*platform.Server
 	for n, zone := range []string{"shah-alam", "ipoh", "johor-bahru"} {
-		s := &bed.Server{Name: fmt.Sprintf("i-%d", n+1), Service: service, Zone: zone, Slots: slots, Handle: d.handle}
+		s := &platform.Server{Name: fmt.Sprintf("i-%d", n+1), Service: service, Zone: zone, Slots: slots, Handle: d.handle}
 		d.places[s.Name] = make(chan struct{}, slots)
 		servers = append(servers, c.Serve(s))
 	}
-	instance := c.Start(bed.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: 134})
+	instance := c.Start(platform.Machine{Name: "frontend-shah-alam-1", Zone: "shah-alam", MemoryMB: 134})
 	d.began = time.Now()
 	answered := send(c, instance)
 	c.Log("summary: in %s of trouble, %d of %d answers of %s had additional bytes in front", troubleFor, d.spoiled.Load(), d.answers.Load(), d.faulty)
@@ -111,7 +111,7 @@
 }
 
 // send sends the clients' orders and returns the status of each; zero if there was none.
-func send(c *bed.Case, instance *bed.Instance) map[string]int {
+func send(c *platform.Case, instance *platform.Instance) map[string]int {
 	answered := make(map[string]int)
 	var mu sync.Mutex
 	var all sync.WaitGroup
@@ -119,7 +119,7 @@
 		for n := range burstSize {
 			id := fmt.Sprintf("%08x%04x%04x", rand.Uint32(), burst, n)
 			all.Go(func() {
-				a := bed.Send(instance.Callers, bed.Request{ID: id, Method: http.MethodPost, Path: "/orders/2f", Key: bed.Key, Limit: timeLimit, Body: "pane"})
+				a := platform.Send(instance.Callers, platform.Request{ID: id, Method: http.MethodPost, Path: "/orders/2f", Key: platform.Key, Limit: timeLimit, Body: "pane"})
 				c.Log("client of %s got status %d, broken %v", id, a.Status, a.Broken)
 				mu.Lock()
 				defer mu.Unlock()
@@ -133,7 +133,7 @@
 }
 
 // check returns how the rules TWICE and REFUSED were broken.
-func check(c *bed.Case, servers []*bed.Server, answered map[string]int) []string {
+func check(c *platform.Case, servers []*platform.Server, answered map[string]int) []string {
 	total := make(map[string]int)
 	for _, s := range servers {
 		for id, n := range s.Ran() {
--- a/review/stand2/bed/server.go
+++ b/review/stand2/platform/server.go
@@ -1,4 +1,4 @@
-package bed
+package platform
 
 import (
 	"bufio"
--- a/review/stand2/bed/store.go
+++ b/review/stand2/platform/store.go
@@ -1,7 +1,7 @@
-// Package bed holds the stand-ins that the cases of this review share: the platform's
+// Package platform holds the stand-ins that the cases of this review share: the platform's
 // store, servers, clients and the settings of an entry instance. They follow the users'
 // protocol page and use nothing but the standard library.
-package bed
+package platform
 
 import (
 	"encoding/json"
