store: log and count the store's return from an older copy

The client now tracks the era, counts and logs a new one, and takes a response of an older era as no response. A configuration that the view does not apply is logged, and changes that a follower skips are counted.

--- a/internal/fleet/nutmegfollow/config.go
+++ b/internal/fleet/nutmegfollow/config.go
@@ -14,6 +14,7 @@
 	"context"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
 	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
@@ -30,6 +31,8 @@
 	Decode        func(value []byte) (*nutmegview.Config, error)
 	View          *nutmegview.View
 	OnDecodeError func(object nutmegstore.Object, err error) // called if a value cannot be decoded
+	// OnNotNewer is called for a configuration that the view does not apply.
+	OnNotNewer func(c *nutmegview.Config, version nutmegid.Version)
 }
 
 // ConfigFollower keeps the view's configuration up to date.
@@ -43,6 +46,9 @@
 	if cfg.OnDecodeError == nil {
 		cfg.OnDecodeError = func(nutmegstore.Object, error) {}
 	}
+	if cfg.OnNotNewer == nil {
+		cfg.OnNotNewer = func(*nutmegview.Config, nutmegid.Version) {}
+	}
 	return &ConfigFollower{cfg: cfg, done: make(chan struct{})}
 }
 
@@ -77,5 +83,7 @@
 		f.cfg.OnDecodeError(o, err)
 		return
 	}
-	f.cfg.View.Apply(config)
+	if !f.cfg.View.Apply(config) {
+		f.cfg.OnNotNewer(config, o.Version)
+	}
 }
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -172,12 +172,13 @@
 		Metrics:         e.metrics,
 		OutageAfter:     storeOutageAfter,
 		OnStateChange:   e.storeStateChanged,
+		OnRestore:       e.storeRestored,
 	})
 	e.writer = nutmegstore.NewWriter(e.client, e.incarnation)
 	e.buildFeeds()
 	e.evacuations = newEvacuations(e)
 	e.configFollower = nutmegfollow.NewConfigFollower(nutmegfollow.ConfigFollowerConfig{
-		Store: e.client, Source: e.configFeed, Key: e.cfg.Platform.ConfigKey, Decode: e.cfg.Platform.DecodeConfig, View: e.view, OnDecodeError: e.configUnreadable,
+		Store: e.client, Source: e.configFeed, Key: e.cfg.Platform.ConfigKey, Decode: e.cfg.Platform.DecodeConfig, View: e.view, OnDecodeError: e.configUnreadable, OnNotNewer: e.configNotNewer,
 	})
 	e.upstreamFollower = nutmegfollow.NewUpstreamFollower(nutmegfollow.UpstreamFollowerConfig{
 		Store: e.client, Source: e.upstreamFeed, Kind: e.cfg.Platform.UpstreamKind, Decode: e.cfg.Platform.DecodeUpstream, View: e.view, OnChange: e.upstreamChanged,
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -37,6 +37,21 @@
 	e.event("store_lost").Warn("store is unreachable")
 }
 
+// storeRestored logs that the store has lost its latest writes.
+func (e *Entry) storeRestored(before, after nutmegid.Era) {
+	e.event("store_restored").WithFields(logrus.Fields{
+		"era_before": before, "era": after, "revision": e.view.Revision(), "upstreams_version": e.view.Upstreams().Version,
+	}).Warn("the store has come back from an older copy")
+}
+
+// configNotNewer logs a configuration that is not put into force.
+func (e *Entry) configNotNewer(c *nutmegview.Config, version nutmegid.Version) {
+	e.count("config_not_newer")
+	e.event("config_not_newer").WithFields(logrus.Fields{
+		"revision": c.Revision, "in_force": e.view.Revision(), "version": version,
+	}).Info("the store holds a configuration that is not newer than the one in force")
+}
+
 func (e *Entry) configApplied(c *nutmegview.Config) {
 	e.event("config_applied").WithFields(logrus.Fields{
 		"revision": c.Revision, "routes": len(c.Routes), "services": len(c.Services), "workspaces": len(c.Workspaces),
--- a/nutmegstore/client.go
+++ b/nutmegstore/client.go
@@ -54,6 +54,8 @@
 	Metrics         metrics.Registry // a private registry when nil
 	OutageAfter     time.Duration    // time without a good response after which Up reports false; no limit when zero
 	OnStateChange   func(up bool)    // called when an outage starts or ends
+	// OnRestore, if not nil, is called when the store has come back from an older copy.
+	OnRestore func(before, after nutmegid.Era)
 }
 
 // callKind is the name of the metric that counts one kind of call.
@@ -75,6 +77,7 @@
 	consecutiveFailures atomic.Int64
 	callTimeout         *adaptiveTimeout // of calls that are answered at once
 	pollMargin          *adaptiveTimeout // of polls, after their wait
+	era                 eraTracker
 	stateMu             sync.Mutex
 	down                bool
 
@@ -154,6 +157,11 @@
 	}
 }
 
+// Era returns the era that the store has stated last.
+func (c *Client) Era() EraState {
+	return c.era.get()
+}
+
 // Get reads one object.
 func (c *Client) Get(ctx context.Context, key Key) (Object, error) {
 	resp, err := c.read(ctx, callRead, key, c.cfg.Dialect.Get(key), MaxValueBytes+maxEnvelopeBytes)
@@ -339,7 +347,31 @@
 		c.count("store_limited")
 	}
 	c.recordResult(resp.Status < http.StatusInternalServerError)
-	return resp, nil
+	return resp, c.observeEra(resp)
+}
+
+// observeEra records the era that a response states. A response from an older era is
+// an error.
+func (c *Client) observeEra(resp Response) error {
+	era, err := c.cfg.Dialect.ReadEra(resp)
+	if err != nil {
+		return err
+	}
+	if era == 0 {
+		return nil
+	}
+	before, isNew, err := c.era.observe(era)
+	if err != nil {
+		c.count("store_old_responses")
+		return err
+	}
+	if isNew && before.Era != 0 {
+		c.count("store_restores")
+		if c.cfg.OnRestore != nil {
+			c.cfg.OnRestore(before.Era, era)
+		}
+	}
+	return nil
 }
 
 // exchange sends a call and reads its response, of whose body it reads at most one
--- a/nutmegstore/dialect.go
+++ b/nutmegstore/dialect.go
@@ -67,6 +67,8 @@
 	ReadConflict(key Key, resp Response) (Object, bool)
 	// ReadPage decodes the response to a successful List.
 	ReadPage(kind string, resp Response) (Page, error)
+	// ReadEra returns the era that a response states, or 0 if it states none.
+	ReadEra(resp Response) (nutmegid.Era, error)
 }
 
 // Poller is a Dialect that watches by long polling: a request returns with the
@@ -148,6 +150,11 @@
 	return Page{Objects: objects}, nil
 }
 
+// ReadEra implements Dialect. This API states no eras.
+func (HeaderDialect) ReadEra(Response) (nutmegid.Era, error) {
+	return 0, nil
+}
+
 // listItem is one object in a list or watch response.
 type listItem struct {
 	Type    string           `json:"type,omitempty"`
--- /dev/null
+++ b/nutmegstore/era.go
@@ -0,0 +1,47 @@
+package nutmegstore
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/nutmegwind/nutmegwind/nutmegid"
+)
+
+// EraState is what a client knows of the store's era.
+type EraState struct {
+	Era   nutmegid.Era
+	Since time.Time // when the client learned of it; zero if the store states no era
+}
+
+// eraTracker tracks the highest era that the store has stated.
+type eraTracker struct {
+	mu    sync.Mutex
+	state EraState
+}
+
+// errOldEra means that a response was sent before the store went back to a copy.
+var errOldEra = errors.New("the response is from before the store was restored")
+
+// observe records the era of a response. It returns the state before and whether the
+// era is a new one. An era lower than the current one is an error.
+func (t *eraTracker) observe(era nutmegid.Era) (before EraState, isNew bool, err error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before = t.state
+	if era < before.Era {
+		return before, false, fmt.Errorf("%w: its era is %d, the store's %d", errOldEra, era, before.Era)
+	}
+	if era == before.Era {
+		return before, false, nil
+	}
+	t.state = EraState{Era: era, Since: time.Now()}
+	return before, true, nil
+}
+
+func (t *eraTracker) get() EraState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.state
+}
--- a/nutmegstore/watch.go
+++ b/nutmegstore/watch.go
@@ -254,6 +254,7 @@
 		return known
 	}
 	if known && o.Version <= version {
+		f.client.count("store_changes_not_newer")
 		return false
 	}
 	f.known[o.Key.Name] = o.Version
