store: order versions by the store's era before its counter

Cause: what the store says was ordered by its counter alone. After a restore the counter runs again through values that it has given out before. Followers took what was written under them for known, polls went on from a number that means another state now, feeders handed on changes across the restore, and an object that the copy lacks counted as deleted at once.

Change: a Version holds the era above the counter; the platform's codec composes and splits it, all comparisons stay as they are. A poll across eras asks for a new list, as after a compaction. A feeder of an older era confirms nothing. A list of a restored store proves that an object is gone only after the writers had two seconds to write it again.

--- a/internal/fleet/nutmegfeed/feed.go
+++ b/internal/fleet/nutmegfeed/feed.go
@@ -165,7 +165,9 @@
 	f.use("", since, cause)
 	changes, err := f.cfg.Store.Poll(ctx, kind, since, wait)
 	if err != nil {
-		f.store = f.store.next(minStorePause, maxStorePause)
+		if !nutmegstore.IsKind(err, nutmegstore.KindCompacted) {
+			f.store = f.store.next(minStorePause, maxStorePause)
+		}
 		f.log.fail()
 		return changes, err
 	}
--- a/internal/fleet/nutmegfeed/log.go
+++ b/internal/fleet/nutmegfeed/log.go
@@ -94,6 +94,8 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	s := state{at: l.at, confirmedAt: l.confirmedAt, usable: !l.broken && !l.confirmedAt.IsZero(), changed: l.changed}
+	// This instance has not seen yet that the store was restored.
+	s.usable = s.usable && l.at.Era() >= since.Era()
 	s.compacted = since < l.start
 	for _, e := range l.entries {
 		if e.to > since {
--- a/internal/instance/nutmegentry/evacuations.go
+++ b/internal/instance/nutmegentry/evacuations.go
@@ -167,7 +167,7 @@
 	e := v.entry
 	e.count("evacuation_changes")
 	fields := logrus.Fields{
-		"failure_domain": c.FailureDomain, "version": c.Version, "source": source, "age_ms": age.Milliseconds(),
+		"failure_domain": c.FailureDomain, "version": c.Version.String(), "source": source, "age_ms": age.Milliseconds(),
 		"running": e.placer.Running(c.FailureDomain),
 	}
 	if !c.Evacuated {
@@ -197,7 +197,7 @@
 // unusable logs an object that evacuates nothing.
 func (v *evacuations) unusable(o nutmegstore.Object) {
 	v.entry.count("evacuations_unusable")
-	v.entry.event("evacuation_unusable").WithFields(logrus.Fields{"name": o.Key.Name, "version": o.Version}).Error("the name of an evacuation is not that of a failure domain; ignoring it")
+	v.entry.event("evacuation_unusable").WithFields(logrus.Fields{"name": o.Key.Name, "version": o.Version.String()}).Error("the name of an evacuation is not that of a failure domain; ignoring it")
 }
 
 func (v *evacuations) countEvacuated() int64 {
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -40,7 +40,7 @@
 // storeRestored logs that the store has lost its latest writes.
 func (e *Entry) storeRestored(before, after nutmegid.Era) {
 	e.event("store_restored").WithFields(logrus.Fields{
-		"era_before": before, "era": after, "revision": e.view.Revision(), "upstreams_version": e.view.Upstreams().Version,
+		"era_before": before, "era": after, "revision": e.view.Revision(), "upstreams_version": e.view.Upstreams().Version.String(),
 	}).Warn("the store has come back from an older copy")
 }
 
@@ -48,7 +48,7 @@
 func (e *Entry) configNotNewer(c *nutmegview.Config, version nutmegid.Version) {
 	e.count("config_not_newer")
 	e.event("config_not_newer").WithFields(logrus.Fields{
-		"revision": c.Revision, "in_force": e.view.Revision(), "version": version,
+		"revision": c.Revision, "in_force": e.view.Revision(), "version": version.String(),
 	}).Info("the store holds a configuration that is not newer than the one in force")
 }
 
@@ -74,11 +74,11 @@
 
 func (e *Entry) configUnreadable(o nutmegstore.Object, err error) {
 	e.count("config_unreadable")
-	e.event("config_unreadable").WithField("version", o.Version).WithError(err).Error("cannot decode the configuration; keeping the current one")
+	e.event("config_unreadable").WithField("version", o.Version.String()).WithError(err).Error("cannot decode the configuration; keeping the current one")
 }
 
 func (e *Entry) upstreamChanged(c nutmegfollow.UpstreamChange) {
-	entry := e.event("upstream_" + c.Kind).WithFields(logrus.Fields{"upstream": c.Upstream, "version": c.Version})
+	entry := e.event("upstream_" + c.Kind).WithFields(logrus.Fields{"upstream": c.Upstream, "version": c.Version.String()})
 	if c.Err != nil {
 		entry = entry.WithError(c.Err)
 	}
@@ -139,7 +139,7 @@
 	e.count("requests_" + string(d.Kind))
 	entry := e.event("request_" + string(d.Kind)).WithFields(logrus.Fields{
 		"request": c.ID, "service": c.Service, "upstream": d.Upstream, "try": d.Attempt, "at_ms": time.Since(c.Arrived).Milliseconds(),
-		"upstreams_version": e.view.Upstreams().Version,
+		"upstreams_version": e.view.Upstreams().Version.String(),
 	})
 	if d.Err != nil {
 		entry = entry.WithError(d.Err)
@@ -171,7 +171,7 @@
 	metrics.GetOrRegisterTimer("request_time_"+string(c.Route.Name), e.metrics).Update(took)
 	entry := e.event("request_ended").WithFields(logrus.Fields{
 		"request": c.ID, "route": c.Route.Name, "revision": c.Revision, "workspace": c.Workspace, "service": c.Service,
-		"upstream": o.Upstream, "upstreams_version": e.view.Upstreams().Version, "outcome": o.Reason, "run": o.Ran.String(),
+		"upstream": o.Upstream, "upstreams_version": e.view.Upstreams().Version.String(), "outcome": o.Reason, "run": o.Ran.String(),
 		"status": o.Status, "sends": o.Attempts, "events": o.Events, "bound": c.Prompt.MaxTokens(), "body_bytes": len(c.Body), "used": o.UsedTokens, "policy": nutmegrelay.PolicyOf(c.Route), "took_ms": took.Milliseconds(),
 	})
 	if o.Detail != "" {
--- a/internal/instance/nutmegentry/feeds.go
+++ b/internal/instance/nutmegentry/feeds.go
@@ -42,7 +42,7 @@
 // sourceSwitched logs from whom this instance gets changes of the store.
 func (e *Entry) sourceSwitched(s nutmegfeed.Switch) {
 	e.count("change_source_switches")
-	entry := e.event("change_source").WithFields(logrus.Fields{"kind": s.Kind, "feeder": s.Feeder, "since": s.Since})
+	entry := e.event("change_source").WithFields(logrus.Fields{"kind": s.Kind, "feeder": s.Feeder, "since": s.Since.String()})
 	if s.Err != nil {
 		entry = entry.WithError(s.Err)
 	}
--- a/nutmegid/id.go
+++ b/nutmegid/id.go
@@ -23,12 +23,6 @@
 // replaces a lower one.
 type Revision uint64
 
-// Version is the version number of one object in the platform's object API.
-type Version uint64
-
-// Era counts how often the platform's store has come back from an older copy of
-// itself. It is 0 if the store states none.
-type Era uint32
 
 // Instance is the name of one entry instance of the fleet, as set in its
 // settings.
--- a/nutmegstand/platform.go
+++ b/nutmegstand/platform.go
@@ -78,6 +78,7 @@
 	random    *rand.Rand
 	objects   map[string]map[string]item // by kind, then name
 	version   uint64
+	era       uint64        // restores so far
 	changed   chan struct{} // closed and replaced at each change
 	faults    PlatformFaults
 	record    PlatformRecord
--- a/nutmegstore/client.go
+++ b/nutmegstore/client.go
@@ -247,13 +247,17 @@
 
 // Poll returns the changes of a kind after a version as soon as there are any,
 // or no changes once wait has passed. An error of KindCompacted means that the
-// platform no longer keeps that version. The dialect must be a Poller.
+// platform no longer keeps that version, or never had it in its present era. The
+// dialect must be a Poller.
 func (c *Client) Poll(ctx context.Context, kind string, since nutmegid.Version, wait time.Duration) (Changes, error) {
 	key := Key{Kind: kind}
 	poller, ok := c.cfg.Dialect.(Poller)
 	if !ok {
 		return Changes{}, newError(KindUnavailable, key, errors.New("the platform's API does not support polling for changes"))
 	}
+	if c.Era().Era > since.Era() {
+		return Changes{}, newError(KindCompacted, key, errOtherEra)
+	}
 	if err := c.admit(ctx, key, c.readLimiter, callWatch); err != nil {
 		return Changes{}, err
 	}
@@ -268,6 +272,9 @@
 	if err != nil {
 		return Changes{}, newError(KindUnavailable, key, err)
 	}
+	if changes.StoreVersion.Era() != since.Era() {
+		return Changes{}, newError(KindCompacted, key, errOtherEra)
+	}
 	return changes, nil
 }
 
--- a/nutmegstore/defaults.go
+++ b/nutmegstore/defaults.go
@@ -27,6 +27,7 @@
 	maxEnvelopeBytes        = 16 << 10                // size of a response beyond the value itself
 	maxExcerptBytes         = 200                     // length of a response body quoted in an error
 	pollTimeout             = 1200 * time.Millisecond // bounds the delay until a dead watch is noticed, which shows only as missing responses
+	restoreGrace            = 2 * time.Second         // from a restore of the store until its writers have written again what was lost
 	minPollMargin           = 500 * time.Millisecond  // added to a poll's wait until the poll counts as lost
 	maxListBytes            = 256 << 20
 
--- a/nutmegstore/era.go
+++ b/nutmegstore/era.go
@@ -21,8 +21,13 @@
 	state EraState
 }
 
-// errOldEra means that a response was sent before the store went back to a copy.
-var errOldEra = errors.New("the response is from before the store was restored")
+var (
+	// errOldEra means that a response was sent before the store went back to a copy.
+	errOldEra = errors.New("the response is from before the store was restored")
+	// errOtherEra means that the changes since a version cannot be told: the store has
+	// given out its number again.
+	errOtherEra = errors.New("the store was restored after this version")
+)
 
 // observe records the era of a response. It returns the state before and whether the
 // era is a new one. An era lower than the current one is an error.
--- a/nutmegstore/errors.go
+++ b/nutmegstore/errors.go
@@ -22,7 +22,8 @@
 	KindUnknown ErrorKind = "unknown_outcome"
 	// KindTooLarge means that the value exceeds MaxValueBytes.
 	KindTooLarge ErrorKind = "too_large"
-	// KindCompacted means that the platform no longer keeps the version from which a poll continues.
+	// KindCompacted means that the platform no longer keeps the version from which a poll
+	// continues, or has been restored to a state before it.
 	KindCompacted ErrorKind = "compacted"
 	// KindDamaged means that the object's value was not written by a Writer.
 	KindDamaged ErrorKind = "damaged"
--- a/nutmegstore/watch.go
+++ b/nutmegstore/watch.go
@@ -95,13 +95,14 @@
 	// Relayed means that another instance has read the changes and passed them on.
 	Relayed bool
 	// Listed means that all objects were listed: those that no batch has named since
-	// do not exist at StoreVersion.
+	// do not exist at StoreVersion. It is false for a list that a restore may have made
+	// incomplete.
 	Listed bool
 }
 
 // Follow calls fn with each existing object of a kind, each newer version and
 // each deletion, until ctx ends. It lists and watches again when a watch breaks
-// or stops sending. The versions of one object that fn receives never decrease,
+// or stops sending, and when the store has been restored. The versions of one object that fn receives never decrease,
 // except when a deleted object is created again.
 func (c *Client) Follow(ctx context.Context, kind, prefix string, fn func(Object)) {
 	c.FollowBatches(ctx, FollowRequest{Kind: kind, Prefix: prefix}, func(b Batch) {
@@ -132,6 +133,10 @@
 
 // FollowBatches is like Follow, but passes changes that arrive together to fn in
 // one call. A batch without changes is passed if it ends a gap.
+//
+// When the store has been restored from an older copy, objects that the copy lacks
+// are reported as deleted only if they are still missing after a grace period, in
+// which their writers can write them again.
 func (c *Client) FollowBatches(ctx context.Context, r FollowRequest, fn func(Batch)) {
 	if r.Source == nil {
 		r.Source = c
@@ -151,6 +156,10 @@
 	known       map[string]nutmegid.Version
 	interrupted bool      // the last read of the store failed
 	lastSuccess time.Time // time of the last successful read
+
+	era       nutmegid.Era // of the latest list
+	settlesAt time.Time    // from then on a list proves that an object is gone
+	unsettled bool         // the latest list did not prove it
 }
 
 func (f *follower) run(ctx context.Context) {
@@ -181,11 +190,14 @@
 }
 
 // poll delivers changes until the platform has compacted the version to continue
-// from. A failed poll is retried from the same version, so that an outage does
+// from, or a list is due because of a restore. A failed poll is retried from the same version, so that an outage does
 // not require a new list.
 func (f *follower) poll(ctx context.Context, storeVersion nutmegid.Version) {
 	delay := minRewatchDelay
 	for ctx.Err() == nil {
+		if f.unsettled && time.Now().After(f.settlesAt) {
+			return
+		}
 		changes, err := f.Source.Poll(ctx, f.Kind, storeVersion, f.Wait)
 		if IsKind(err, KindCompacted) {
 			f.client.count("store_compacted_watches")
@@ -213,17 +225,37 @@
 		f.interrupted = true
 		return 0, err
 	}
+	f.unsettled = f.isUnsettled(storeVersion.Era(), time.Now())
+	if !f.unsettled {
+		objects = append(objects, f.missing(objects)...)
+	}
+	f.deliver(Changes{Objects: objects, StoreVersion: storeVersion}, !f.unsettled)
+	return storeVersion, nil
+}
+
+// isUnsettled records the era of a list and reports whether the writers of objects may
+// still have to write again what a restore has undone.
+func (f *follower) isUnsettled(era nutmegid.Era, now time.Time) bool {
+	if f.era != 0 && era > f.era {
+		f.settlesAt = now.Add(restoreGrace)
+	}
+	f.era = era
+	return now.Before(f.settlesAt)
+}
+
+// missing returns the deletions of the known objects that a list does not hold.
+func (f *follower) missing(objects []Object) []Object {
 	present := make(map[string]bool, len(objects))
 	for _, o := range objects {
 		present[o.Key.Name] = true
 	}
+	var gone []Object
 	for name, version := range f.known {
 		if !present[name] {
-			objects = append(objects, Object{Key: Key{Kind: f.Kind, Name: name}, Version: version, Deleted: true})
+			gone = append(gone, Object{Key: Key{Kind: f.Kind, Name: name}, Version: version, Deleted: true})
 		}
 	}
-	f.deliver(Changes{Objects: objects, StoreVersion: storeVersion}, true)
-	return storeVersion, nil
+	return gone
 }
 
 // deliver passes on the objects that are newer than the known versions.
