store: a conditional write across a restore proves nothing

Cause: a write conditional on a revision of before a restore succeeds if the restored store has given out the same number again.

Change: a success whose version is of another era than the write's base is an unknown outcome, which the update already resolves: it reads the object, finds the id of its write or makes the change again.

--- a/nutmegid/id.go
+++ b/nutmegid/id.go
@@ -23,7 +23,6 @@
 // replaces a lower one.
 type Revision uint64
 
-
 // Instance is the name of one entry instance of the fleet, as set in its
 // settings.
 type Instance string
--- a/nutmegstore/update.go
+++ b/nutmegstore/update.go
@@ -40,7 +40,10 @@
 // that there was nothing to write; KindUnknown that it may have been written or
 // may still be; any other error that it was not and will not be written. This
 // relies on two properties: versions of one object never repeat, not even after
-// a deletion, and no object is deleted while the update that creates it runs.
+// a deletion, and no object is deleted while the update that creates it runs. A
+// store that is restored from an older copy begins a new era, so that its versions
+// do not repeat either; what it then lacks counts as not written, and a write whose
+// condition was meant for the era before as one of unknown outcome.
 func Update[T any](ctx context.Context, w *Writer, key Key, change func(*T) error) (Document[T], error) {
 	u := &update[T]{w: w, key: key, id: nutmegid.NewWriteID(), change: change}
 	return u.run(ctx)
@@ -172,6 +175,10 @@
 		next = &writeAttempt{base: base, baseEnvelope: env, value: value}
 	}
 	version, err := u.send(ctx, next)
+	if err == nil && base.Version != 0 && version.Era() != base.Version.Era() {
+		// The condition named a version that the store has given out twice.
+		err = newError(KindUnknown, u.key, errOtherEra)
+	}
 	u.conflicting = conflictingObject(err)
 	u.w.latest.put(u.key, u.conflicting)
 	switch {
