upstreams: a restored store brings no departed process back

Cause: the older copy shows an upstream as ready that has said since that it leaves, or still lists one whose entry was removed; its process counted as new.

Change: the table remembers for two minutes which processes have gone. An entry that may be as old as the copy does not end a process's leaving, does not bring a gone process back and does not replace a later one. It counts once it is written anew, or if the store still holds it after five seconds, when that of a silent upstream would have been removed.

The table has a file of its own now.

--- a/internal/fleet/nutmegfollow/upstreams.go
+++ b/internal/fleet/nutmegfollow/upstreams.go
@@ -22,6 +22,12 @@
 	minBatchPause         = 400 * time.Millisecond
 	maxBatchPause         = time.Second
 	batchPausePerUpstream = 10 * time.Millisecond
+	// doubtTime is how long an entry of a restored store is not used if its process had
+	// gone before: by then the store has removed the entry again, or it lives.
+	doubtTime = 5 * time.Second
+	// departureLifetime is how long gone processes are remembered. A copy of the store
+	// that is older would bring them back.
+	departureLifetime = 2 * time.Minute
 	// maxExpiryPause is the longest time between two checks for expired entries.
 	maxExpiryPause = time.Minute
 )
@@ -51,6 +57,8 @@
 	UpstreamGone       = "gone"
 	UpstreamMissing    = "missing_after_gap"
 	UpstreamUnreadable = "unreadable"
+	// UpstreamDoubted is an entry of a restored store whose process had gone before.
+	UpstreamDoubted = "doubted"
 )
 
 // UpstreamFollower keeps the view's upstreams up to date.
@@ -138,89 +146,3 @@
 func BatchPause(upstreams int) time.Duration {
 	return min(max(time.Duration(upstreams)*batchPausePerUpstream, minBatchPause), maxBatchPause)
 }
-
-// upstreamTable holds the upstreams listed in the store and those whose entries
-// vanished during a store outage.
-type upstreamTable struct {
-	decode    func(nutmegstore.Object) (nutmegview.Upstream, error)
-	onChange  func(UpstreamChange)
-	version   nutmegid.Version
-	byID      map[nutmegid.Upstream]nutmegview.Upstream
-	missing   map[nutmegid.Upstream]time.Time // when entries that vanished in an outage expire
-	outageEnd time.Time
-}
-
-func newUpstreamTable(decode func(nutmegstore.Object) (nutmegview.Upstream, error), onChange func(UpstreamChange)) *upstreamTable {
-	return &upstreamTable{
-		decode: decode, onChange: onChange,
-		byID:    make(map[nutmegid.Upstream]nutmegview.Upstream),
-		missing: make(map[nutmegid.Upstream]time.Time),
-	}
-}
-
-// apply applies a batch of changes to the table.
-func (t *upstreamTable) apply(b nutmegstore.Batch, now time.Time) {
-	if b.Gap >= minLapseGap {
-		t.outageEnd = now
-	}
-	t.version = max(t.version, b.StoreVersion)
-	for _, o := range b.Objects {
-		t.applyObject(o, now)
-	}
-}
-
-func (t *upstreamTable) applyObject(o nutmegstore.Object, now time.Time) {
-	id := nutmegid.Upstream(o.Key.Name)
-	if o.Deleted {
-		t.remove(id, o.Version, now)
-		return
-	}
-	delete(t.missing, id)
-	u, err := t.decode(o)
-	if err != nil {
-		delete(t.byID, id)
-		t.onChange(UpstreamChange{Upstream: id, Version: o.Version, Kind: UpstreamUnreadable, Err: err})
-		return
-	}
-	before, had := t.byID[id]
-	t.byID[id] = u
-	kind := UpstreamReady
-	if u.Leaving {
-		kind = UpstreamLeaving
-	}
-	if !had || before.Leaving != u.Leaving || before.Address != u.Address {
-		t.onChange(UpstreamChange{Upstream: id, Version: o.Version, Kind: kind})
-	}
-}
-
-// remove removes an upstream. If its entry may only have expired in a store
-// outage, the upstream stays in use for reappearGrace.
-func (t *upstreamTable) remove(id nutmegid.Upstream, version nutmegid.Version, now time.Time) {
-	u, had := t.byID[id]
-	if !had {
-		return
-	}
-	if !u.Leaving && !t.outageEnd.IsZero() && now.Before(t.outageEnd.Add(reappearGrace)) {
-		t.missing[id] = t.outageEnd.Add(reappearGrace)
-		t.onChange(UpstreamChange{Upstream: id, Version: version, Kind: UpstreamMissing})
-		return
-	}
-	delete(t.byID, id)
-	t.onChange(UpstreamChange{Upstream: id, Version: version, Kind: UpstreamGone})
-}
-
-// expire removes missing upstreams whose grace period is over and returns the time
-// until the next check.
-func (t *upstreamTable) expire(now time.Time) time.Duration {
-	next := maxExpiryPause
-	for id, until := range t.missing {
-		if now.Before(until) {
-			next = min(next, until.Sub(now))
-			continue
-		}
-		delete(t.missing, id)
-		delete(t.byID, id)
-		t.onChange(UpstreamChange{Upstream: id, Version: t.version, Kind: UpstreamGone})
-	}
-	return next
-}
