roster: write entries and agreement again after a restore of the store

Cause: an instance writes its entry, the fleet's key and the suspects once. A copy from before its start lacks them: at their next listing the others no longer find it, and an instance that starts then founds another fleet (class: written by one owner, acknowledged, and lost).

Change: when the store's era changes, the roster writes its entry and, if it is missing, the agreement again, lists the instances often for a while, and the suspects are merged into the store once more.

TestInstancesWriteTheirEntriesAgainAfterARestore fails on the commit before (the entry never comes back). TestFleetGoesOnAfterARestore guards the whole of the restore with two instances in one process; on the configuration after the restore is never in force.

--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -98,6 +98,8 @@
 	// time from which all others know this instance; it is written before listedAt.
 	listedAt  atomic.Pointer[time.Time]
 	settledAt time.Time
+	agreement fleetAgreement // zero until it is known; written by run only
+	restored  chan struct{}  // signals that the store may have lost what this instance wrote
 	done      chan struct{}
 
 	mu     sync.Mutex
@@ -122,7 +124,7 @@
 		cfg.OnChange = func(int) {}
 	}
 	return &Roster{
-		cfg: cfg, done: make(chan struct{}),
+		cfg: cfg, restored: make(chan struct{}, 1), done: make(chan struct{}),
 		health: make(map[nutmegid.Incarnation]peerHealth), ranks: make(map[string][][]*nutmegview.Instance),
 		limitHomes: make(map[nutmegview.Process][]*nutmegview.Instance),
 	}
@@ -179,19 +181,66 @@
 		} else {
 			next = min(wait, refreshRetryInterval)
 		}
-		if !sleep(ctx, next) {
+		timer := time.NewTimer(next)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
 			return
+		case <-r.restored:
+			timer.Stop()
+			r.writeAgain(ctx)
+			wait = retryInterval
+		case <-timer.C:
 		}
 	}
 }
 
+// StoreRestored makes the roster write again what the store may have lost.
+func (r *Roster) StoreRestored() {
+	select {
+	case r.restored <- struct{}{}:
+	default: // it does so already
+	}
+}
+
+// writeAgain writes this instance's entry and the fleet's agreement to a store that was
+// restored from an older copy. A failure is retried.
+func (r *Roster) writeAgain(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	_, err := nutmegstore.Update(ctx, r.cfg.Writer, r.ownKey(), func(body *nutmegview.Instance) error {
+		if *body == r.cfg.Self {
+			return nutmegstore.ErrUnchanged
+		}
+		*body = r.cfg.Self
+		return nil
+	})
+	if err == nil {
+		_, err = nutmegstore.Update(ctx, r.cfg.Writer, agreementKey, func(body *fleetAgreement) error {
+			if len(body.Key) > 0 {
+				return nutmegstore.ErrUnchanged
+			}
+			*body = r.agreement
+			return nil
+		})
+	}
+	if err != nil {
+		r.cfg.Log.WithField("event", "register_failed").WithError(err).Warn("cannot write this instance's entry to the restored store; retrying")
+		time.AfterFunc(retryInterval, r.StoreRestored)
+	}
+}
+
+// ownKey returns the key of this instance's entry.
+func (r *Roster) ownKey() nutmegstore.Key {
+	return nutmegstore.Key{Kind: instanceKind, Name: string(r.cfg.Self.Name)}
+}
+
 // register writes the instance's entry to the store.
 func (r *Roster) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
 	defer cancel()
-	key := nutmegstore.Key{Kind: instanceKind, Name: string(r.cfg.Self.Name)}
 	r.settledAt = time.Now().Add(nutmegpermit.SettleTime)
-	_, err := nutmegstore.Update(ctx, r.cfg.Writer, key, func(body *nutmegview.Instance) error {
+	_, err := nutmegstore.Update(ctx, r.cfg.Writer, r.ownKey(), func(body *nutmegview.Instance) error {
 		if body.Name != "" && body.Incarnation != r.cfg.Self.Incarnation {
 			r.settledAt = time.Now() // the others know the name from an earlier start
 		}
@@ -211,6 +260,8 @@
 	BudgetShards int    `json:"budget_shards"`
 }
 
+var agreementKey = nutmegstore.Key{Kind: fleetKind, Name: fleetObject}
+
 var (
 	errShardsUnknown = errors.New("number of budget shards is not known yet")
 	errNoPeers       = errors.New("the fleet's key is not known yet")
@@ -223,8 +274,7 @@
 	defer cancel()
 	newKey := make([]byte, peerKeyBytes)
 	_, _ = rand.Read(newKey) // never fails
-	key := nutmegstore.Key{Kind: fleetKind, Name: fleetObject}
-	doc, err := nutmegstore.Update(updateCtx, r.cfg.Writer, key, func(body *fleetAgreement) error {
+	doc, err := nutmegstore.Update(updateCtx, r.cfg.Writer, agreementKey, func(body *fleetAgreement) error {
 		if len(body.Key) > 0 {
 			return nutmegstore.ErrUnchanged
 		}
@@ -238,6 +288,7 @@
 		r.cfg.Log.WithField("event", "fleet_unknown").WithError(err).Info("cannot read the fleet's key and shard count from the store; retrying")
 		return false
 	}
+	r.agreement = doc.Body
 	peers := nutmegpeer.New(nutmegpeer.Config{
 		Fleet: fleetName,
 		Key:   doc.Body.Key,
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -42,6 +42,8 @@
 	e.event("store_restored").WithFields(logrus.Fields{
 		"era_before": before, "era": after, "revision": e.view.Revision(), "upstreams_version": e.view.Upstreams().Version.String(),
 	}).Warn("the store has come back from an older copy")
+	e.roster.StoreRestored()
+	e.suspectStore.changed()
 }
 
 // configNotNewer logs a configuration that is not put into force.
