logs: software versions of upstreams, and requests that take up a stream

The entry's version is read now; upstream lines, resumed attempts and request_ended name it, and request_ended names the request that a take-up resumes.

--- a/internal/fleet/nutmegfollow/upstream_table.go
+++ b/internal/fleet/nutmegfollow/upstream_table.go
@@ -104,7 +104,7 @@
 		kind = UpstreamLeaving
 	}
 	if !had || before.Leaving != u.Leaving || before.Address != u.Address {
-		t.onChange(UpstreamChange{Upstream: u.ID, Version: o.Version, Kind: kind})
+		t.onChange(UpstreamChange{Upstream: u.ID, Version: o.Version, Software: u.Version, Kind: kind})
 	}
 }
 
--- a/internal/fleet/nutmegfollow/upstreams.go
+++ b/internal/fleet/nutmegfollow/upstreams.go
@@ -46,6 +46,7 @@
 type UpstreamChange struct {
 	Upstream nutmegid.Upstream
 	Version  nutmegid.Version
+	Software nutmegview.SoftwareVersion
 	Kind     string
 	Err      error
 }
--- a/internal/fleet/nutmegview/upstream.go
+++ b/internal/fleet/nutmegview/upstream.go
@@ -7,6 +7,10 @@
 	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
+// SoftwareVersion is the version of an upstream's software, as it states it. What two
+// versions generate does not fit together. It is empty if an upstream states none.
+type SoftwareVersion string
+
 // Upstream is a process that runs requests, as registered in the store.
 type Upstream struct {
 	ID            nutmegid.Upstream
@@ -21,6 +25,7 @@
 	// StartedAt identifies the process: one that started later under the same id
 	// has none of its predecessor's state.
 	StartedAt time.Time
+	Version   SoftwareVersion
 }
 
 // Process identifies one process of an upstream.
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -80,7 +80,7 @@
 }
 
 func (e *Entry) upstreamChanged(c nutmegfollow.UpstreamChange) {
-	entry := e.event("upstream_" + c.Kind).WithFields(logrus.Fields{"upstream": c.Upstream, "version": c.Version.String()})
+	entry := e.event("upstream_" + c.Kind).WithFields(logrus.Fields{"upstream": c.Upstream, "version": c.Version.String(), "software": c.Software})
 	if c.Err != nil {
 		entry = entry.WithError(c.Err)
 	}
@@ -149,6 +149,9 @@
 		"request": c.ID, "service": c.Service, "upstream": d.Upstream, "try": d.Attempt, "at_ms": time.Since(c.Arrived).Milliseconds(),
 		"upstreams_version": e.view.Upstreams().Version.String(),
 	})
+	if d.Software != "" {
+		entry = entry.WithField("software", d.Software)
+	}
 	if d.Err != nil {
 		entry = entry.WithError(d.Err)
 	}
@@ -182,6 +185,12 @@
 		"upstream": o.Upstream, "upstreams_version": e.view.Upstreams().Version.String(), "outcome": o.Reason, "run": o.Ran.String(),
 		"status": o.Status, "sends": o.Attempts, "events": o.Events, "bound": c.Prompt.MaxTokens(), "body_bytes": len(c.Body), "used": o.UsedTokens, "policy": nutmegrelay.PolicyOf(c.Route), "took_ms": took.Milliseconds(),
 	})
+	if !c.Resumed.IsZero() {
+		entry = entry.WithFields(logrus.Fields{"resumes": c.Resumed.First, "last_event": c.Resumed.LastEvent})
+	}
+	if o.Software != "" {
+		entry = entry.WithField("software", o.Software)
+	}
 	if o.Detail != "" {
 		entry = entry.WithField("detail", o.Detail)
 	}
--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -77,7 +77,7 @@
 		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonUnknownRoute, Detail: "no route matches " + r.Host + r.URL.Path}
 	}
 	call := &nutmegcall.Call{
-		ID: info.ID, Revision: config.Revision, Route: route, Prompt: info.Prompt,
+		ID: info.ID, Revision: config.Revision, Route: route, Prompt: info.Prompt, Resumed: info.Resumed,
 		Method: r.Method, Host: r.Host, Target: r.RequestURI, Header: r.Header, Arrived: arrived,
 		Deadline: arrived.Add(requestTimeout(info, route)), Limits: config.Limits, Memory: e.memoryOf(r.Context()),
 	}
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -55,9 +55,24 @@
 	ID      nutmegid.RequestID
 	APIKey  string        // API key of a workspace; empty if none was sent
 	Timeout time.Duration // how long the caller waits; zero if not stated
+	Resumed ResumedStream // zero if the request begins anew
 	Prompt  Prompt
 }
 
+// ResumedStream is a stream that broke off and that a caller takes up again with
+// another request.
+type ResumedStream struct {
+	// First is the request that brought the stream's first event; empty if not stated.
+	First nutmegid.RequestID
+	// LastEvent is the ID of the last event that the caller has.
+	LastEvent string
+}
+
+// IsZero reports whether a request does not take up a stream.
+func (s ResumedStream) IsZero() bool {
+	return s.LastEvent == ""
+}
+
 // Memory is the account of what a call holds in memory. What is not released is
 // returned when the call ends.
 type Memory interface {
@@ -80,6 +95,7 @@
 	Priority  int                // zero is the most urgent
 	Regions   nutmegview.RegionLimit
 	Prompt    Prompt
+	Resumed   ResumedStream // zero if the call begins anew
 
 	Method string
 	Host   string
@@ -169,8 +185,9 @@
 	Ran        Ran
 	Status     int // of the upstream's response; zero if there was none
 	Upstream   nutmegid.Upstream
-	Attempts   int             // attempts that may have reached an upstream
-	Events     int64           // events with data in a completed stream
-	UsedTokens nutmegid.Tokens // tokens charged to the workspace
+	Software   nutmegview.SoftwareVersion // of that upstream
+	Attempts   int                        // attempts that may have reached an upstream
+	Events     int64                      // events with data in a completed stream
+	UsedTokens nutmegid.Tokens            // tokens charged to the workspace
 	Detail     string
 }
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -76,7 +76,7 @@
 			return e.notPlaced(refusal)
 		}
 		e.attempts++
-		e.outcome.Upstream = placement.Upstream.ID
+		e.outcome.Upstream, e.outcome.Software = placement.Upstream.ID, placement.Upstream.Version
 		if retry {
 			e.logDecision(e.retryKind(), placement, nil)
 		}
@@ -185,7 +185,7 @@
 }
 
 func (e *exchange) logDecision(kind DecisionKind, p *nutmegplace.Placement, err error) {
-	e.relay.cfg.OnDecision(e.call, Decision{Kind: kind, Upstream: p.Upstream.ID, Attempt: e.attempts, Err: err})
+	e.relay.cfg.OnDecision(e.call, Decision{Kind: kind, Upstream: p.Upstream.ID, Software: p.Upstream.Version, Attempt: e.attempts, Err: err})
 }
 
 // logFailed logs an attempt that did not end the call.
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -142,7 +142,8 @@
 type Decision struct {
 	Kind     DecisionKind
 	Upstream nutmegid.Upstream
-	Attempt  int // number of the attempt, starting at 1
+	Software nutmegview.SoftwareVersion // of that upstream
+	Attempt  int                        // number of the attempt, starting at 1
 	Detail   string
 	Err      error
 	// Content and Parts identify requests with the same content and with the same
