relay: a stream goes on at the version that began it, within one answer

Cause: a broken stream was resumed at any upstream of its service. The entry's software version was not read (class: continuing work on a peer that is assumed to be alike).

Change: the version of the upstream that sends the first event belongs to the stream's position. Further attempts are placed among upstreams of that version only; without one the answer ends as broken off. A stream of which the caller has nothing yet may begin at any version.

--- a/internal/traffic/nutmegplace/placer.go
+++ b/internal/traffic/nutmegplace/placer.go
@@ -14,6 +14,7 @@
 
 import (
 	"cmp"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -53,6 +54,9 @@
 	Prompt  nutmegcall.Prompt   // zero for services that are not inference engines
 	Exclude []nutmegid.Upstream // upstreams not to pick
 	Regions nutmegview.RegionLimit
+	// Version is the only software version that can go on with a stream; nil for a
+	// request that begins anew.
+	Version *nutmegview.SoftwareVersion
 	// AvoidCold asks for an upstream that is not cold, if there is one: a cold one has
 	// just denied the request.
 	AvoidCold bool
@@ -191,10 +195,16 @@
 	if refusal := p.closed(info); refusal != nil {
 		return refusal
 	}
-	return &nutmegcall.Refusal{
-		Reason: nutmegcall.ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter,
-		Detail: "no upstream of service " + string(info.Service) + " takes work",
+	detail := "no upstream of service " + string(info.Service) + " takes work"
+	if info.Version != nil {
+		detail = fmt.Sprintf("no upstream of service %s with software version %q takes work", info.Service, *info.Version)
 	}
+	return &nutmegcall.Refusal{Reason: nutmegcall.ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter, Detail: detail}
+}
+
+// fits reports whether an upstream can take a request at all, as far as its entry tells.
+func (i PickInfo) fits(u nutmegview.Upstream) bool {
+	return !slices.Contains(i.Exclude, u.ID) && (i.Version == nil || *i.Version == u.Version)
 }
 
 // spread extends a wait by up to its own length, but not by long, so that callers do
@@ -210,7 +220,7 @@
 func (p *Placer) usable(info PickInfo, spare bool, now time.Duration) (found []*candidate, heldUntil time.Duration, spared bool) {
 	best := stateAvoided
 	for _, c := range p.byService[info.Service] {
-		if c.saidLeaving || slices.Contains(info.Exclude, c.ID) || !p.Admits(c.Upstream, info) {
+		if c.saidLeaving || !info.fits(c.Upstream) || !p.Admits(c.Upstream, info) {
 			continue
 		}
 		if now < c.heldUntil {
--- a/internal/traffic/nutmegrelay/exchange.go
+++ b/internal/traffic/nutmegrelay/exchange.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegevent"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
@@ -36,9 +37,10 @@
 	info       ResponseInfo  // of the latest response
 	record     AttemptRecord // of the latest attempt
 	events     nutmegevent.Splitter
-	headerSent bool          // the response header was sent to the caller
-	beganAt    time.Duration // first event of the latest attempt; zero if there was none
-	begun      bool          // the latest attempt's upstream has gone on for a while after that
+	headerSent bool                        // the response header was sent to the caller
+	version    *nutmegview.SoftwareVersion // that began the stream; nil before its first event
+	beganAt    time.Duration               // first event of the latest attempt; zero if there was none
+	begun      bool                        // the latest attempt's upstream has gone on for a while after that
 	outcome    nutmegcall.Outcome
 }
 
@@ -155,7 +157,7 @@
 }
 
 func (e *exchange) pickInfo() nutmegplace.PickInfo {
-	return nutmegplace.PickInfo{Service: e.call.Service, Prompt: e.call.Prompt, Exclude: e.exclude, Regions: e.call.Regions}
+	return nutmegplace.PickInfo{Service: e.call.Service, Prompt: e.call.Prompt, Exclude: e.exclude, Regions: e.call.Regions, Version: e.version}
 }
 
 // mayRetryAfterRun reports whether the call may be retried or resumed although an
