streams: callers take a stream up at the version that began it

Cause: a take-up was placed like a new request. Nobody remembered the version of a stream beyond its exchange, and nobody read Resumes (class: state of a session kept only by the process that serves it).

Change: nutmegstream. Instances remember their streams; the store holds which versions of a service may have streams under way, and, only while there are several, each instance's streams and the versions at which it begins new ones. A version is announced before it gets requests and retired when its streams are over. A take-up of which nobody knows the version is refused (503, not run). A take-up goes to the service that its first request was drawn to.

Result: the tests of registry_test.go (all instances killed twice, unknown streams, a restored store, the store away).

--- a/internal/fleet/nutmegroster/roster.go
+++ b/internal/fleet/nutmegroster/roster.go
@@ -150,6 +150,15 @@
 	return len(r.others()) + 1
 }
 
+// Names returns the names of all instances, including this one.
+func (r *Roster) Names() []nutmegid.Instance {
+	names := []nutmegid.Instance{r.cfg.Self.Name}
+	for _, other := range r.others() {
+		names = append(names, other.Name)
+	}
+	return names
+}
+
 // others returns all known instances except this one.
 func (r *Roster) others() []nutmegview.Instance {
 	if known := r.known.Load(); known != nil {
--- a/internal/instance/nutmegentry/entry.go
+++ b/internal/instance/nutmegentry/entry.go
@@ -41,6 +41,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegplace"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegrelay"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegretry"
+	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegstream"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegsuspect"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegwarmup"
 	"github.com/nutmegwind/nutmegwind/nutmegconf"
@@ -101,6 +102,7 @@
 	suspectStore     *suspectStore
 	notices          *nutmegnotice.Tracker
 	warmup           *nutmegwarmup.Tracker
+	streams          *nutmegstream.Registry
 	granter          *nutmegpermit.Granter
 	rateInformer     *rateInformer
 	relay            *nutmegrelay.Relay
@@ -209,16 +211,18 @@
 	e.placer = nutmegplace.New(nutmegplace.Config{
 		FailureDomain: s.Instance.FailureDomain, Seed: rand.Uint64(), Locations: e.view, Warmup: e.warmup,
 	})
+	e.buildStreams()
 	e.retries = nutmegretry.NewBudget(nutmegretry.Config{
 		Ratio: s.Retries.Ratio, Extra: s.Retries.Extra, Window: time.Duration(s.Retries.Window),
 	})
 	e.relay = nutmegrelay.New(nutmegrelay.Config{
-		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, Notices: upstreamNotices{e}, Admission: e.admission(),
+		Codec: e.cfg.Platform.UpstreamCodec, Pool: e.pool, Placer: e.placer, Budget: e.meter, Retries: e.retries, View: e.view, Suspects: e.suspects, Notices: upstreamNotices{e}, Streams: e.streams, Admission: e.admission(),
 		Instances: e.roster.Count, MayBegin: e.checkDrain, OnDecision: e.relayDecided, Elapsed: e.uptime,
 	})
 	e.view.OnConfig(e.placer.SetConfig)
+	e.view.OnConfig(e.streams.SetConfig)
 	e.view.OnConfig(e.configApplied)
-	e.view.OnUpstreams(e.placer.SetUpstreams)
+	e.view.OnUpstreams(e.streams.SetUpstreams)
 }
 
 // admission returns nil, which admits all calls, unless the settings ask for another one.
@@ -273,6 +277,7 @@
 	go e.overload.loop(ctx)
 	go e.suspectStore.run(ctx)
 	go e.rateInformer.run(ctx)
+	e.streams.Start(ctx)
 	e.pool.Start()
 	e.readiness = e.serve(readiness, e.readinessHandler(), e.probeLimits())
 	e.callers = e.serve(e.callerTraffic.Listener(callers), http.HandlerFunc(e.handle), e.limits.serverLimits())
@@ -303,7 +308,7 @@
 
 // Ready reports whether the instance accepts new callers.
 func (e *Entry) Ready() bool {
-	informed := e.view.Config() != nil && len(e.view.Upstreams().ByID) > 0 && e.evacuations.known()
+	informed := e.view.Config() != nil && len(e.view.Upstreams().ByID) > 0 && e.evacuations.known() && e.streams.Known()
 	return informed && e.meter.IsOpen() && e.drain.Load() == nil && !e.overload.active()
 }
 
--- a/internal/instance/nutmegentry/events.go
+++ b/internal/instance/nutmegentry/events.go
@@ -44,6 +44,7 @@
 	}).Warn("the store has come back from an older copy")
 	e.roster.StoreRestored()
 	e.suspectStore.changed()
+	e.streams.StoreRestored()
 }
 
 // configNotNewer logs a configuration that is not put into force.
--- a/internal/instance/nutmegentry/handler.go
+++ b/internal/instance/nutmegentry/handler.go
@@ -10,6 +10,7 @@
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
 	"github.com/nutmegwind/nutmegwind/internal/ops/nutmegserve"
 	"github.com/nutmegwind/nutmegwind/internal/traffic/nutmegcall"
+	"github.com/nutmegwind/nutmegwind/nutmegid"
 )
 
 // handle serves a request of a caller.
@@ -91,7 +92,7 @@
 		call.Workspace = workspace.Name
 		call.Metered = workspace.Metered
 	}
-	call.Service, ok = route.ChooseService(xxhash.Sum64String(string(info.ID)))
+	call.Service, ok = route.ChooseService(xxhash.Sum64String(string(serviceDraw(info))))
 	if !ok {
 		return nil, &nutmegcall.Refusal{Reason: nutmegcall.ReasonNoUpstream, Detail: "route " + string(route.Name) + " has no service"}
 	}
@@ -102,6 +103,15 @@
 	return call, e.checkDrain(call)
 }
 
+// serviceDraw returns the ID that decides to which service of a route a request goes: a
+// stream that is taken up goes to the one where it began.
+func serviceDraw(info nutmegcall.RequestInfo) nutmegid.RequestID {
+	if info.Resumed.First != "" {
+		return info.Resumed.First
+	}
+	return info.ID
+}
+
 // authenticate returns the workspace of a request, or nil if none is required.
 func authenticate(config *nutmegview.Config, route *nutmegview.Route, info nutmegcall.RequestInfo) (*nutmegview.Workspace, *nutmegcall.Refusal) {
 	if !config.HasWorkspaces() {
--- a/internal/instance/nutmegentry/stop.go
+++ b/internal/instance/nutmegentry/stop.go
@@ -24,6 +24,7 @@
 	<-e.overload.done
 	<-e.suspectStore.done
 	<-e.rateInformer.done
+	e.streams.Wait()
 	e.evacuations.wait()
 	e.roster.Stop()
 	e.pool.Stop()
--- a/internal/traffic/nutmegcall/call.go
+++ b/internal/traffic/nutmegcall/call.go
@@ -139,14 +139,16 @@
 
 // The reasons for which a request ends.
 const (
-	ReasonNoConfig           Reason = "no_configuration"
-	ReasonUnknownRoute       Reason = "unknown_route"
-	ReasonUnknownKey         Reason = "unknown_key"
-	ReasonBadRequest         Reason = "bad_request"
-	ReasonTooLarge           Reason = "too_large"
-	ReasonBudgetExhausted    Reason = "budget_exhausted"
-	ReasonBudgetUnreachable  Reason = "budget_unreachable"
-	ReasonNoUpstream         Reason = "no_upstream"
+	ReasonNoConfig          Reason = "no_configuration"
+	ReasonUnknownRoute      Reason = "unknown_route"
+	ReasonUnknownKey        Reason = "unknown_key"
+	ReasonBadRequest        Reason = "bad_request"
+	ReasonTooLarge          Reason = "too_large"
+	ReasonBudgetExhausted   Reason = "budget_exhausted"
+	ReasonBudgetUnreachable Reason = "budget_unreachable"
+	ReasonNoUpstream        Reason = "no_upstream"
+	// ReasonUnknownStream means that a stream cannot be taken up: where it began is not known.
+	ReasonUnknownStream      Reason = "unknown_stream"
 	ReasonEvacuated          Reason = "evacuated"
 	ReasonRegionUnavailable  Reason = "region_unavailable"
 	ReasonOverloaded         Reason = "overloaded"
--- a/internal/traffic/nutmegrelay/relay.go
+++ b/internal/traffic/nutmegrelay/relay.go
@@ -113,6 +113,17 @@
 	IsLeaving(u nutmegview.Upstream) bool
 }
 
+// Streams remembers which software version has begun each stream.
+type Streams interface {
+	// Begun records that the first event of a call's stream goes to its caller.
+	Begun(call *nutmegcall.Call, version nutmegview.SoftwareVersion)
+	// Ended records the end of such a stream, complete or broken off.
+	Ended(call *nutmegcall.Call, complete bool)
+	// Origin returns the version that has begun the stream which a call takes up. A
+	// refusal means that it cannot go on.
+	Origin(ctx context.Context, call *nutmegcall.Call) (nutmegview.SoftwareVersion, *nutmegcall.Refusal)
+}
+
 // Permit is the answer to the question whether a request may be sent.
 type Permit struct {
 	Granted bool
@@ -186,6 +197,7 @@
 	View      *nutmegview.View
 	Suspects  Suspects   // of this instance alone when nil
 	Notices   Notices    // none are heeded when nil
+	Streams   Streams    // where callers' streams began is not checked when nil
 	Admission Admission  // all calls are admitted when nil
 	Instances func() int // number of instances that share the retry budget; 1 when nil
 	// MayBegin returns a refusal for a call that must not begin to run now. It is
@@ -252,6 +264,9 @@
 	if refusal := r.cfg.Placer.Closed(e.pickInfo()); refusal != nil {
 		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
 	}
+	if refusal := e.findOrigin(ctx); refusal != nil {
+		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
+	}
 	if refusal := r.admit(call); refusal != nil {
 		return nutmegcall.Outcome{Reason: refusal.Reason, Detail: refusal.Detail}, refusal
 	}
@@ -264,6 +279,7 @@
 	}
 	r.cfg.Retries.RecordRequest(call.Service, r.cfg.Elapsed())
 	refusal := e.serve(ctx)
+	e.streamEnded()
 	e.settle()
 	if refusal != nil {
 		e.outcome.Reason = refusal.Reason
--- a/internal/traffic/nutmegrelay/response.go
+++ b/internal/traffic/nutmegrelay/response.go
@@ -248,9 +248,7 @@
 	cfg := e.relay.cfg
 	cfg.Placer.RecordEvent(p, cfg.Elapsed())
 	e.recordBegin()
-	if e.version == nil {
-		e.version = &p.Upstream.Version
-	}
+	e.streamBegun(p.Upstream.Version)
 	e.sendHeader(resp)
 	return e.sink.Write(complete)
 }
