route: a status that no answer has is a failure of the upstream

Cause: a plain service's response was an answer whatever its status.

Change: a status outside 200 to 599 is an error of kind upstream_error; whether the call ran is unknown.

TestStatusThatNoAnswerHasIsBroken failed for all six statuses.

--- a/nutmegroute/attempt_errors.go
+++ b/nutmegroute/attempt_errors.go
@@ -87,6 +87,12 @@
 // proves that a call did not run: with any other status, including an error status, the
 // service has received the call.
 func serviceStatusError(u nutmegid.Upstream, resp *http.Response) error {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return &Error{
+			Kind: KindUpstreamCode, Ran: RanUnknown, Upstream: u, Remedy: "have an operator inspect the service",
+			Err: fmt.Errorf("returned status %q, which no answer has", resp.Status),
+		}
+	}
 	if resp.Header.Get(notRunHeader) != "1" {
 		return nil
 	}
@@ -96,6 +102,8 @@
 	}
 }
 
+const maxStatus = 599 // of an answer
+
 // isUncertainStatus reports whether a status leaves open whether the call took effect.
 func isUncertainStatus(status int) bool {
 	return status >= http.StatusInternalServerError || status == http.StatusRequestTimeout
