streams: state at once when other versions take new requests

A statement was written after its interval only, 1.5 s in a fleet of 95. If all instances are killed within that time after the old version's last upstream began to leave, both versions counted as open, and streams that nobody had stated were refused. Now a change of the open versions is written at once, and the interval is 6 ms for each instance instead of 16.

--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -52,7 +52,7 @@
 	cutOffRetryAfter = 30 * time.Millisecond
 
 	// Bounds of the time between two writes of an instance's list of streams.
-	listIntervalPerInstance = 16 * time.Millisecond
+	listIntervalPerInstance = 6 * time.Millisecond
 	minListInterval         = 150 * time.Millisecond
 	maxListInterval         = 3 * time.Second
 
--- a/internal/traffic/nutmegstream/publish.go
+++ b/internal/traffic/nutmegstream/publish.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/nutmegwind/nutmegwind/internal/fleet/nutmegview"
@@ -86,11 +87,7 @@
 			continue
 		}
 		s.Announced[service] = r.announced[service]
-		for _, u := range r.upstreams.ByService[service] {
-			if !u.Leaving {
-				s.Open.add(service, u.Version)
-			}
-		}
+		s.Open.merge(Versions{service: openVersions(r.upstreams.ByService[service])})
 		if r.cfg.Elapsed() < lifetime {
 			s.Open.merge(Versions{service: r.inheritedOpen[service]})
 		}
@@ -104,6 +101,17 @@
 	return s, streams
 }
 
+// openVersions returns the versions of upstreams that take new requests, in order.
+func openVersions(upstreams []nutmegview.Upstream) []nutmegview.SoftwareVersion {
+	var open []nutmegview.SoftwareVersion
+	for _, u := range upstreams {
+		if at, found := slices.BinarySearch(open, u.Version); !u.Leaving && !found {
+			open = slices.Insert(open, at, u.Version)
+		}
+	}
+	return open
+}
+
 // expire forgets the streams that cannot be taken up any more. The caller must hold mu.
 func (r *Registry) expire() {
 	now := r.cfg.Elapsed()
--- a/internal/traffic/nutmegstream/registry.go
+++ b/internal/traffic/nutmegstream/registry.go
@@ -28,6 +28,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -151,11 +152,29 @@
 func (r *Registry) SetUpstreams(set *nutmegview.Upstreams) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.upstreams, r.changed = set, true
+	if r.opensOthers(set) {
+		r.changed = true
+		r.signal()
+	}
+	r.upstreams = set
 	r.history.update(set, r.cfg.Elapsed())
 	r.apply()
 }
 
+// opensOthers reports whether new requests can go to other versions than before. The
+// caller must hold mu.
+func (r *Registry) opensOthers(set *nutmegview.Upstreams) bool {
+	if r.upstreams == nil {
+		return true
+	}
+	for service := range r.lifetimes {
+		if !slices.Equal(openVersions(set.ByService[service]), openVersions(r.upstreams.ByService[service])) {
+			return true
+		}
+	}
+	return false
+}
+
 // apply passes on the upstreams to which requests may be sent. The caller must hold mu.
 func (r *Registry) apply() {
 	if r.upstreams == nil {
