--- a/internal/instance/nutmegentry/defaults.go
+++ b/internal/instance/nutmegentry/defaults.go
@@ -51,10 +51,10 @@
 	// much again is random, so that they do not come there together.
 	cutOffRetryAfter = 30 * time.Millisecond
 
-	// Bounds of the time between two writes of an instance's list of streams.
-	listIntervalPerInstance = 6 * time.Millisecond
-	minListInterval         = 150 * time.Millisecond
-	maxListInterval         = 3 * time.Second
+	// The time between two writes of an instance's statement on its streams.
+	statementIntervalPerInstance = 6 * time.Millisecond
+	minStatementInterval         = 150 * time.Millisecond
+	maxStatementInterval         = 3 * time.Second
 
 	storeOutageAfter = 2800 * time.Millisecond // an outage starts this long after the last successful response
 	// budgetsPerShard is the number of budgets per store object. More budgets make
--- a/internal/instance/nutmegentry/streams.go
+++ b/internal/instance/nutmegentry/streams.go
@@ -14,17 +14,17 @@
 	e.streams = nutmegstream.New(nutmegstream.Config{
 		Store:    nutmegstream.ObjectStore{Client: e.client, Writer: e.writer, Instance: name},
 		Instance: name, Instances: e.roster.Names,
-		Interval: e.streamListInterval,
+		Interval: e.statementInterval,
 		Apply:    e.placer.SetUpstreams,
 		Elapsed:  e.uptime,
 		OnEvent:  e.streamsChanged,
 	})
 }
 
-// streamListInterval returns the time between two writes of this instance's list of
-// streams. It grows with the fleet, so that all together write a bounded rate.
-func (e *Entry) streamListInterval() time.Duration {
-	return min(max(time.Duration(e.roster.Count())*listIntervalPerInstance, minListInterval), maxListInterval)
+// statementInterval returns the time between two writes of what this instance states of
+// its streams. It grows with the fleet, so that all together write a bounded rate.
+func (e *Entry) statementInterval() time.Duration {
+	return min(max(time.Duration(e.roster.Count())*statementIntervalPerInstance, minStatementInterval), maxStatementInterval)
 }
 
 // streamsChanged logs what this instance announces of software versions and streams.
--- a/internal/traffic/nutmegstream/defaults.go
+++ b/internal/traffic/nutmegstream/defaults.go
@@ -12,9 +12,10 @@
 	minConsultPause   = 200 * time.Millisecond // between two reads of what other instances know
 	consultTimeout    = 700 * time.Millisecond
 	writeTimeout      = 1500 * time.Millisecond
-	// listDelay is how much later than its interval another instance's list may come.
-	listDelay     = 150 * time.Millisecond
-	minWritePause = 50 * time.Millisecond  // between two rounds of writes
-	retryInterval = 300 * time.Millisecond // after a failed announcement
-	retireSpread  = 3 * time.Second        // so that not all instances retire a version at once
+	// statementDelay is how much later than its interval another instance's statement may
+	// come.
+	statementDelay = 150 * time.Millisecond
+	minWritePause  = 50 * time.Millisecond  // between two rounds of writes
+	retryInterval  = 300 * time.Millisecond // after a failed announcement
+	retireSpread   = 3 * time.Second        // so that not all instances retire a version at once
 )
--- a/internal/traffic/nutmegstream/origin.go
+++ b/internal/traffic/nutmegstream/origin.go
@@ -15,17 +15,13 @@
 	if o, known := r.remembered(call); known {
 		return r.accept(call, o)
 	}
-	began := r.cfg.Elapsed()
 	detail := ""
-	// Another instance may have written its list just before.
-	for _, after := range []bool{false, true} {
-		if after && !sleep(ctx, r.cfg.Interval()+listDelay) {
+	// Another instance may still have to write the statement that names the stream.
+	for again := range 2 {
+		if again > 0 && !sleep(ctx, r.cfg.Interval()+statementDelay) {
 			break
 		}
-		if after {
-			began = r.cfg.Elapsed()
-		}
-		known, err := r.consult(ctx, began)
+		known, err := r.consult(ctx, r.cfg.Elapsed())
 		if err != nil {
 			detail = ": " + err.Error()
 			continue
--- a/internal/traffic/nutmegstream/publish.go
+++ b/internal/traffic/nutmegstream/publish.go
@@ -27,7 +27,7 @@
 	defer r.mu.Unlock()
 	if err != nil {
 		r.changed = true
-		r.cfg.OnEvent(Event{Kind: EventListFailed, Streams: streams, Err: err})
+		r.cfg.OnEvent(Event{Kind: EventNotStated, Streams: streams, Err: err})
 		return err
 	}
 	r.stated = len(statement.Announced) > 0
--- a/internal/traffic/nutmegstream/registry.go
+++ b/internal/traffic/nutmegstream/registry.go
@@ -45,7 +45,7 @@
 	Instance nutmegid.Instance
 	// Instances returns all instances of the fleet.
 	Instances func() []nutmegid.Instance
-	// Interval returns the least time between two writes of the list of streams.
+	// Interval returns the time between two writes of this instance's statement.
 	Interval func() time.Duration
 	// Apply is called with the upstreams to which requests may be sent, in order.
 	Apply func(*nutmegview.Upstreams)
@@ -59,7 +59,7 @@
 	Kind    EventKind
 	Service nutmegview.Service
 	Version nutmegview.SoftwareVersion
-	Streams int // in a list
+	Streams int // in a statement
 	Err     error
 }
 
@@ -71,8 +71,8 @@
 	EventAnnounced    EventKind = "version_announced"
 	EventRetired      EventKind = "version_retired"
 	EventNotAnnounced EventKind = "version_not_announced"
-	EventListFailed   EventKind = "streams_not_written"
-	EventUnknown      EventKind = "streams_unknown" // other instances' lists cannot be read
+	EventNotStated    EventKind = "streams_not_written"
+	EventUnknown      EventKind = "streams_unknown" // the statements cannot be read
 )
 
 // key identifies a stream by the request that brought its first event.
--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -239,6 +239,7 @@
 	return err
 }
 
+// tryCommit does so once.
 func (c *committer) tryCommit(ctx context.Context, leave bool) error {
 	c.followEra()
 	if time.Now().Before(c.retryAt) {
