budgets: a damaged shard ends no process

Cause: an empty record, lease or budget in a shard was dereferenced in the next commit of each holder that read it, which ended the process. Such a shard has not been seen; the restore showed that commits trust what they read.

Change: a commit checks the records first and fails with the invariant's error, which names what is empty.

TestDamagedRecordsEndNoProcess panics without the check.

--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -339,6 +339,9 @@
 		if c.holder.cfg.StoreEra().Era != p.Era {
 			return notStated(p.Batch)
 		}
+		if err := s.checkRecords(); err != nil {
+			return err
+		}
 		c.holder.cfg.Prepare(s, c.shard)
 		c.enterEra(s, p)
 		return s.Apply(p.Batch, c.holder.policyOf)
--- a/nutmegbudget/recovery_test.go
+++ b/nutmegbudget/recovery_test.go
@@ -8,6 +8,7 @@
 	"github.com/google/go-cmp/cmp"
 
 	"github.com/nutmegwind/nutmegwind/nutmegid"
+	"github.com/nutmegwind/nutmegwind/nutmegstore"
 )
 
 // tick runs one commit interval of a holder.
@@ -134,3 +135,29 @@
 		t.Errorf("%d records are kept, want %d", len(s.Holders), maxLeaves)
 	}
 }
+
+// A damaged shard ended the process of each holder that read it, with a panic in the next
+// commit.
+func TestDamagedRecordsEndNoProcess(t *testing.T) {
+	for name, damage := range map[string]func(s *Shard){
+		"an empty record": func(s *Shard) { s.Holders["lost"] = nil },
+		"an empty lease":  func(s *Shard) { s.Budgets[restoredBudget].Leases["lost"] = nil },
+		"an empty budget": func(s *Shard) { s.Budgets[restoredBudget] = nil },
+	} {
+		f := newRestorableFleet(1, 1)
+		f.spend(t, 0, 100)
+		writer := nutmegstore.NewWriter(&memLink{store: f.store}, "other")
+		_, err := nutmegstore.Update(t.Context(), writer, nutmegstore.Key{Kind: ShardKind, Name: ShardName(0)}, func(s *Shard) error {
+			damage(s)
+			return nil
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		f.store.restore(f.store.copyObjects())
+		f.tick(t, 0)
+		if err := f.nodes[0].holder.committers[0].lastErr; !IsKind(err, KindInvariant) {
+			t.Errorf("%s: the commit ended with %v, want an error that names the damage", name, err)
+		}
+	}
+}
--- a/nutmegbudget/shard.go
+++ b/nutmegbudget/shard.go
@@ -171,6 +171,27 @@
 	return nil
 }
 
+// checkRecords returns an error of KindInvariant if a budget, a lease or the record of a
+// holder is empty: what the store holds may be damaged.
+func (s *Shard) checkRecords() error {
+	for inc, record := range s.Holders {
+		if record == nil {
+			return invariantError("", fmt.Sprintf("the record of holder %s is empty", inc))
+		}
+	}
+	for id, b := range s.Budgets {
+		if b == nil {
+			return invariantError(id, "the stored budget is empty")
+		}
+		for inc, lease := range b.Leases {
+			if lease == nil {
+				return invariantError(id, fmt.Sprintf("the lease of %s is empty", inc))
+			}
+		}
+	}
+	return nil
+}
+
 func invariantError(id nutmegid.BudgetID, detail string) error {
 	return &Error{Kind: KindInvariant, Budget: id, Detail: detail, Remedy: "report this as a defect; the change was not written"}
 }
