budgets: a merge of many leaves ends no process

Cause: putting back what another holder saw recorded its leaves and dropped the oldest records at once, while their leases were still to be merged; with over 16 leaves since the copy the next lease had no record. Found by reading.

Change: the oldest records are dropped after the merge.

TestMergeOfManyLeaves panics on the code before.

--- a/nutmegbudget/batch.go
+++ b/nutmegbudget/batch.go
@@ -220,7 +220,8 @@
 		return
 	}
 	if s.Era != 0 {
-		s.keepLeave(record)
+		s.setLeft(record)
+		s.pruneLeaves()
 		return
 	}
 	s.dropLeases(inc)
--- a/nutmegbudget/recovery.go
+++ b/nutmegbudget/recovery.go
@@ -41,6 +41,7 @@
 			s.mergeBudget(id, other, seen.Holders)
 		}
 	}
+	s.pruneLeaves()
 }
 
 func (s *Shard) mergeRecord(inc nutmegid.Incarnation, other *HolderRecord) {
@@ -56,7 +57,7 @@
 	record.Superseded = record.Superseded || other.Superseded
 	record.Final = record.Final || other.Superseded
 	if other.LeaveNumber != 0 && record.LeaveNumber == 0 {
-		s.keepLeave(record)
+		s.setLeft(record)
 	}
 }
 
@@ -143,10 +144,14 @@
 	}
 }
 
-// keepLeave records that a holder has left, and drops the oldest such records.
-func (s *Shard) keepLeave(record *HolderRecord) {
+// setLeft records that a holder has left.
+func (s *Shard) setLeft(record *HolderRecord) {
 	s.Releases++
 	record.LeaveNumber = s.Releases
+}
+
+// pruneLeaves drops the oldest records of holders that have left.
+func (s *Shard) pruneLeaves() {
 	for inc, other := range s.Holders {
 		if other.LeaveNumber != 0 && other.LeaveNumber+maxLeaves <= s.Releases {
 			s.dropLeases(inc)
--- a/nutmegbudget/recovery_test.go
+++ b/nutmegbudget/recovery_test.go
@@ -123,13 +123,31 @@
 	})
 }
 
+// More holders may have left since the copy than records are kept: the merge of an older
+// one's lease ended the process.
+func TestMergeOfManyLeaves(t *testing.T) {
+	seen := &Shard{Era: 1, Holders: make(map[nutmegid.Incarnation]*HolderRecord), Budgets: map[nutmegid.BudgetID]*Budget{restoredBudget: {}}}
+	seen.Budgets[restoredBudget].initMaps()
+	for n := range 3 * maxLeaves {
+		inc := nutmegid.NewIncarnation()
+		seen.Holders[inc] = &HolderRecord{Era: 1, LeaveNumber: uint64(n + 1)}
+		seen.Budgets[restoredBudget].Leases[inc] = &Lease{Settled: 10}
+	}
+	s := &Shard{Era: 2}
+	s.merge(seen)
+	if spent := s.Budgets[restoredBudget].Spent; spent != 3*maxLeaves*10 || len(s.Holders) != maxLeaves {
+		t.Errorf("%d tokens spent and %d records; want what all have settled, %d, and %d", spent, len(s.Holders), 3*maxLeaves*10, maxLeaves)
+	}
+}
+
 // Records of holders that have left do not pile up.
 func TestOldLeavesAreForgotten(t *testing.T) {
 	s := &Shard{Era: 1, Holders: map[nutmegid.Incarnation]*HolderRecord{}}
 	for range 3 * maxLeaves {
 		inc := nutmegid.NewIncarnation()
 		s.Holders[inc] = &HolderRecord{}
-		s.keepLeave(s.Holders[inc])
+		s.setLeft(s.Holders[inc])
+		s.pruneLeaves()
 	}
 	if len(s.Holders) != maxLeaves {
 		t.Errorf("%d records are kept, want %d", len(s.Holders), maxLeaves)
--- a/nutmegstore/watch.go
+++ b/nutmegstore/watch.go
@@ -102,8 +102,8 @@
 
 // Follow calls fn with each existing object of a kind, each newer version and
 // each deletion, until ctx ends. It lists and watches again when a watch breaks
-// or stops sending, and when the store has been restored. The versions of one object that fn receives never decrease,
-// except when a deleted object is created again.
+// or stops sending, and when the store has been restored. The versions of one object
+// that fn receives never decrease, except when a deleted object is created again.
 func (c *Client) Follow(ctx context.Context, kind, prefix string, fn func(Object)) {
 	c.FollowBatches(ctx, FollowRequest{Kind: kind, Prefix: prefix}, func(b Batch) {
 		for _, o := range b.Objects {
@@ -190,7 +190,8 @@
 }
 
 // poll delivers changes until the platform has compacted the version to continue
-// from, or a list is due because of a restore. A failed poll is retried from the same version, so that an outage does
+// from, or a list is due because of a restore. A failed poll is retried from the same
+// version, so that an outage does
 // not require a new list.
 func (f *follower) poll(ctx context.Context, storeVersion nutmegid.Version) {
 	delay := minRewatchDelay
