store: a list across a restore is no list

Cause: the pages of one list may be from before and after a restore; what the copy moved between them was missing, and counted as deleted at once. Found by reading; lists of over 500 objects only.

Change: pages of different eras are an error, and the list is read again. TestListAcrossARestoreIsReadAgain got a list of both pages before.

--- a/nutmegstore/client.go
+++ b/nutmegstore/client.go
@@ -237,6 +237,9 @@
 		if request.After == "" {
 			storeVersion = page.StoreVersion
 		}
+		if page.StoreVersion.Era() != storeVersion.Era() {
+			return nil, 0, newError(KindUnavailable, key, errOtherEra)
+		}
 		objects = append(objects, page.Objects...)
 		if page.Next == "" || page.Next == request.After {
 			return objects, storeVersion, nil
