budgets: a holder that has just started takes part in transfers

Cause: since transfers name the era in which the receiver has stated its leases, a holder named none before its first commit, and peers gave it nothing; without the store it stayed without tokens. Introduced with the statements of leases, found while reading refusals after kills.

Change: a committer begins in the era that the store states; it has nothing to state in it. TestNewHolderTakesPartInTransfers fails on the code before.

--- a/nutmegbudget/committer.go
+++ b/nutmegbudget/committer.go
@@ -59,13 +59,16 @@
 }
 
 func newCommitter(h *Holder, shard int) *committer {
-	return &committer{
+	c := &committer{
 		holder:     h,
 		shard:      shard,
 		quit:       make(chan struct{}),
 		done:       make(chan struct{}),
 		commitLock: make(chan struct{}, 1),
 	}
+	// Nothing has to be stated in the era in which the holder begins.
+	c.era.Store(uint32(h.cfg.StoreEra().Era))
+	return c
 }
 
 // start starts the commit loop once.
--- a/nutmegbudget/restate_test.go
+++ b/nutmegbudget/restate_test.go
@@ -204,3 +204,16 @@
 		t.Errorf("after both have stated their leases %d tokens were given, want 10", given)
 	}
 }
+
+// A holder that has just started has not committed yet: its peers gave it nothing until
+// then, as it named no era.
+func TestNewHolderTakesPartInTransfers(t *testing.T) {
+	f := newRestorableFleet(2, 1)
+	f.spend(t, 0, 100)
+	f.links[1].set(func(l *linkFaults) { l.down = true })
+	r, err := f.nodes[1].holder.Acquire(t.Context(), restoredBudget, "", 50)
+	if err != nil {
+		t.Fatalf("a peer with free tokens gave none: %v", err)
+	}
+	r.Settle(50)
+}
