route: an answer is broken if its upload was reset

Cause: the kernel reports a reset to one system call. If that is the write of the upload, the next read ends like that of a closed connection, and net/http takes the end of the connection for the end of an answer without a length. The class: an error that two readers share and only one of them gets.

Change: after a failed write, reads of the connection fail instead of ending. A read that meets the end waits for a write that has begun, so that the order in which the two return does not matter.

Elsewhere: nutmegconn gives up a request whose write fails; a test of its own shows it, which fails once the write's error is dropped. The store's client reads JSON, which a part is not; peers send frames.

--- a/internal/traffic/nutmegconn/faulty_upstream_test.go
+++ b/internal/traffic/nutmegconn/faulty_upstream_test.go
@@ -1,6 +1,7 @@
 package nutmegconn
 
 import (
+	"bufio"
 	"errors"
 	"io"
 	"net"
@@ -169,3 +170,53 @@
 		t.Errorf("%d connections are kept, want none", idle)
 	}
 }
+
+// newHastyServer starts a server that answers each request before it has read the body,
+// without a length, and resets the connection. It returns the server's address.
+func newHastyServer(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan struct{})
+	t.Cleanup(func() {
+		_ = l.Close()
+		<-done
+	})
+	go serveHasty(l, done)
+	return l.Addr().String()
+}
+
+func serveHasty(l net.Listener, done chan<- struct{}) {
+	defer close(done)
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := http.ReadRequest(bufio.NewReaderSize(conn, 16)); err == nil {
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
+		}
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Close()
+	}
+}
+
+// A write of the request was told of the reset, so that the end of the connection looked
+// like the end of the response (MIXED).
+func TestResponseThatIsResetDuringAnUploadFails(t *testing.T) {
+	address := newHastyServer(t)
+	p := newTestPool(t)
+	for _, size := range []int{20, 90_000, 200_000, 3_500_000} {
+		for range 50 {
+			r := newGet(address, "a")
+			r.Body = make([]byte, size)
+			if got, err := fetch(t, p, r); err == nil {
+				t.Fatalf("%d bytes: %q was taken as a whole response", size, got)
+			}
+		}
+	}
+}
--- a/nutmegroute/sender.go
+++ b/nutmegroute/sender.go
@@ -38,15 +38,16 @@
 // NewSender returns a sender.
 func NewSender(cfg SenderConfig) *Sender {
 	cfg = cfg.withDefaults()
+	dial := dialUploads(cfg.Dial)
 	return &Sender{
 		cfg: cfg,
 		pooled: newClient(&http.Transport{
 			MaxIdleConnsPerHost:   idleConnections,
 			IdleConnTimeout:       idleConnectionLimit,
 			ResponseHeaderTimeout: DefaultConnectTimeout,
-			DialContext:           cfg.Dial,
+			DialContext:           dial,
 		}),
-		oneShot:    newClient(&http.Transport{DisableKeepAlives: true, DialContext: cfg.Dial}),
+		oneShot:    newClient(&http.Transport{DisableKeepAlives: true, DialContext: dial}),
 		retries:    NewRetryBudget(),
 		duplicates: newDuplicateGuard(),
 	}
